--- /dev/null
+++ b/src/wire/archive.h
@@ -0,0 +1,202 @@
+// cereal archives for messages: little-endian, with bounds on each count.
+//
+// A count is checked against the limit in the schema and against the bytes
+// that are left before anything is allocated, since cereal by itself allocates
+// whatever a count says. Only codec sources include this file.
+
+#pragma once
+
+#include <bit>
+#include <cstdint>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+#include <cereal/cereal.hpp>
+
+namespace jujube::wire {
+
+static_assert(std::endian::native == std::endian::little,
+              "add byte swapping to the archives for this machine");
+
+inline constexpr std::size_t kMaxNameBytes = 130;
+
+class OutputArchive : public cereal::OutputArchive<OutputArchive> {
+ public:
+  explicit OutputArchive(std::string* out)
+      : cereal::OutputArchive<OutputArchive>(this), m_out(out) {}
+
+  void Append(const void* data, std::size_t size) {
+    m_out->append(static_cast<const char*>(data), size);
+  }
+
+ private:
+  std::string* m_out;
+};
+
+class InputArchive : public cereal::InputArchive<InputArchive> {
+ public:
+  explicit InputArchive(std::string_view bytes)
+      : cereal::InputArchive<InputArchive>(this), m_bytes(bytes) {}
+
+  std::size_t Remaining() const { return m_bytes.size(); }
+
+  void Take(void* data, std::size_t size) {
+    if (size > m_bytes.size())
+      throw cereal::Exception("message ends early");
+    std::memcpy(data, m_bytes.data(), size);
+    m_bytes.remove_prefix(size);
+  }
+
+ private:
+  std::string_view m_bytes;
+};
+
+template <class T>
+requires std::is_arithmetic_v<T>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive, const T& value) {
+  archive.Append(&value, sizeof value);
+}
+
+template <class T>
+requires std::is_arithmetic_v<T>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, T& value) {
+  if constexpr (std::is_same_v<T, bool>) {
+    std::uint8_t byte = 0;
+    archive.Take(&byte, 1);
+    if (byte > 1)
+      throw cereal::Exception("boolean out of range");
+    value = byte == 1;
+  } else {
+    archive.Take(&value, sizeof value);
+  }
+}
+
+template <class Archive, class T>
+requires(
+    std::is_same_v<Archive, OutputArchive> ||
+    std::is_same_v<
+        Archive,
+        InputArchive>) void CEREAL_SERIALIZE_FUNCTION_NAME(Archive& archive,
+                                                           cereal::
+                                                               NameValuePair<T>&
+                                                                   pair) {
+  archive(pair.value);
+}
+
+// A string or vector with the limit that the schema sets for it.
+template <class T>
+struct BoundedRef {
+  T& m_value;
+  std::size_t m_max;
+};
+
+template <class T>
+BoundedRef<T> Bounded(T& value, std::size_t max) {
+  return {value, max};
+}
+
+template <class T>
+inline constexpr bool kIsString =
+    std::is_same_v<std::remove_const_t<T>, std::string>;
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const BoundedRef<T>& bounded) {
+  if (bounded.m_value.size() > bounded.m_max)
+    throw cereal::Exception("field is larger than its limit");
+  archive(static_cast<std::uint32_t>(bounded.m_value.size()));
+  if constexpr (kIsString<T>) {
+    archive.Append(bounded.m_value.data(), bounded.m_value.size());
+  } else {
+    for (auto& element : bounded.m_value) {
+      if constexpr (kIsString<std::remove_reference_t<decltype(element)>>)
+        archive(Bounded(element, bounded.m_max));
+      else
+        archive(element);
+    }
+  }
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, BoundedRef<T>& bounded) {
+  std::uint32_t count = 0;
+  archive(count);
+  if (count > bounded.m_max || count > archive.Remaining())
+    throw cereal::Exception("count is larger than its limit");
+  if constexpr (kIsString<T>) {
+    bounded.m_value.resize(count);
+    archive.Take(bounded.m_value.data(), count);
+  } else {
+    bounded.m_value.clear();
+    for (std::uint32_t i = 0; i < count; ++i) {
+      auto& element = bounded.m_value.emplace_back();
+      if constexpr (kIsString<std::remove_reference_t<decltype(element)>>)
+        archive(Bounded(element, bounded.m_max));
+      else
+        archive(element);
+    }
+  }
+}
+
+// A duration, written as a 64-bit count of its unit.
+template <class Duration>
+struct DurationRef {
+  Duration& m_value;
+};
+
+template <class Duration>
+DurationRef<Duration> Count(Duration& value) {
+  return {value};
+}
+
+template <class Duration>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const DurationRef<Duration>& duration) {
+  archive(static_cast<std::int64_t>(duration.m_value.count()));
+}
+
+template <class Duration>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive,
+                               DurationRef<Duration>& duration) {
+  std::int64_t count = 0;
+  archive(count);
+  duration.m_value = Duration(count);
+}
+
+// An enumerator, written as a byte; unknown ones are refused. The wrapper keeps
+// cereal's own overload for enumerations from applying.
+template <class Enum>
+struct EnumRef {
+  Enum& m_value;
+  std::uint8_t m_count;
+};
+
+template <class Enum>
+EnumRef<Enum> Checked(Enum& value, std::uint8_t count) {
+  return {value, count};
+}
+
+template <class Enum>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive,
+                               const EnumRef<Enum>& checked) {
+  archive(static_cast<std::uint8_t>(checked.m_value));
+}
+
+template <class Enum>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, EnumRef<Enum>& checked) {
+  std::uint8_t number = 0;
+  archive(number);
+  if (number >= checked.m_count)
+    throw cereal::Exception("enumerator out of range");
+  checked.m_value = static_cast<Enum>(number);
+}
+
+}  // namespace jujube::wire
+
+CEREAL_REGISTER_ARCHIVE(jujube::wire::OutputArchive)
+CEREAL_REGISTER_ARCHIVE(jujube::wire::InputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(jujube::wire::InputArchive,
+                            jujube::wire::OutputArchive)
