--- /dev/null
+++ b/src/net/http_call.h
@@ -0,0 +1,57 @@
+// HttpCall: sends a whole request and reads the whole response.
+
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "core/clock.h"
+#include "core/result.h"
+#include "gen/http.h"
+
+namespace jujube::net {
+
+namespace asio = boost::asio;
+
+class HttpConnection;
+
+struct HttpRequest {
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  std::vector<Header> m_headers;
+  std::string m_body;
+};
+
+struct HttpResponse {
+  ResponseHead m_head;
+  std::string m_body;
+};
+
+inline constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+
+// On a connection that is open. The connection may be reused afterwards if it
+// says so.
+asio::awaitable<Result<HttpResponse>> HttpCall(
+    HttpConnection& connection,
+    HttpRequest request,
+    MonoTime deadline,
+    std::size_t max_bytes = kMaxResponseBytes);
+
+// On a new connection, which is closed afterwards.
+asio::awaitable<Result<HttpResponse>> HttpCall(
+    Endpoint endpoint,
+    HttpRequest request,
+    MonoTime deadline,
+    std::size_t max_bytes = kMaxResponseBytes);
+
+// The same for a program without an event loop: blocks the calling thread.
+Result<HttpResponse> HttpCallBlocking(const Endpoint& endpoint,
+                                      const HttpRequest& request,
+                                      MonoTime deadline);
+
+// Parses "127.0.0.1:8080" or "[::1]:8080".
+Result<Endpoint> ParseEndpoint(std::string_view text);
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/http_connection.cc
@@ -0,0 +1,203 @@
+#include "net/http_connection.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <sys/socket.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "net/http_fields.h"
+
+namespace jujube::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadBufferBytes = 65536;
+constexpr std::uint32_t kMaxHeaderBytes = 32768;
+constexpr int kMaxInformational = 8;
+
+Error StepError(std::string_view step, const beast::error_code& error) {
+  const bool timeout = error == beast::error::timeout;
+  return MakeError(timeout ? ErrorCode::kTimeout : ErrorCode::kIo,
+                   std::string(step) + ": " + error.message());
+}
+
+}  // namespace
+
+struct HttpConnection::State {
+  explicit State(const asio::any_io_executor& executor) : m_stream(executor) {}
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer{kReadBufferBytes};
+  http::request<http::buffer_body> m_request;
+  std::optional<http::request_serializer<http::buffer_body>> m_serializer;
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
+  bool m_head_request = false;
+  bool m_reusable = false;
+};
+
+HttpConnection::HttpConnection(const asio::any_io_executor& executor)
+    : m_state(std::make_unique<State>(executor)) {}
+
+HttpConnection::~HttpConnection() = default;
+
+void HttpConnection::SetDeadline(MonoTime deadline) {
+  const auto left = deadline - MonoClock::now();
+  m_state->m_stream.expires_after(std::max(left, MonoClock::duration::zero()));
+}
+
+asio::awaitable<Status> HttpConnection::Connect(const Endpoint& endpoint) {
+  beast::error_code error;
+  const auto address = asio::ip::make_address(endpoint.m_address, error);
+  if (error)
+    co_return StepError("address", error);
+  auto [connect_error] = co_await m_state->m_stream.async_connect(
+      tcp::endpoint(address, endpoint.m_port), kTuple);
+  if (connect_error)
+    co_return StepError("connect", connect_error);
+  m_state->m_stream.socket().set_option(tcp::no_delay(true), error);
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpConnection::SendHead(const RequestHead& head) {
+  State& state = *m_state;
+  state.m_reusable = false;
+  state.m_head_request = head.m_method == "HEAD";
+  state.m_request = {};
+  state.m_request.method_string(head.m_method);
+  state.m_request.target(head.m_target);
+  state.m_request.version(11);
+  for (const Header& header : head.m_headers) {
+    if (!IsHopByHop(header.m_name))
+      state.m_request.insert(header.m_name, header.m_value);
+  }
+  if (head.m_has_body && head.m_content_length)
+    state.m_request.content_length(*head.m_content_length);
+  else if (head.m_has_body)
+    state.m_request.chunked(true);
+  state.m_request.body().data = nullptr;
+  state.m_request.body().more = head.m_has_body;
+  state.m_serializer.emplace(state.m_request);
+  state.m_parser.emplace();
+  auto [error, count] = co_await http::async_write_header(
+      state.m_stream, *state.m_serializer, kTuple);
+  if (error)
+    co_return StepError("send", error);
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpConnection::SendBody(std::string_view data) {
+  if (data.empty())
+    co_return Success();
+  State& state = *m_state;
+  auto& body = state.m_request.body();
+  // Beast takes a mutable pointer and does not write through it.
+  body.data = const_cast<char*>(data.data());
+  body.size = data.size();
+  body.more = true;
+  auto [error, count] =
+      co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
+  if (error && error != http::error::need_buffer)
+    co_return StepError("send", error);
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpConnection::EndBody() {
+  State& state = *m_state;
+  auto& body = state.m_request.body();
+  body.data = nullptr;
+  body.size = 0;
+  body.more = false;
+  if (state.m_serializer->is_done())
+    co_return Success();
+  auto [error, count] =
+      co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
+  if (error)
+    co_return StepError("send", error);
+  co_return Success();
+}
+
+asio::awaitable<Result<ResponseHead>> HttpConnection::ReadHead() {
+  State& state = *m_state;
+  for (int i = 0; i < kMaxInformational; ++i) {
+    state.m_parser.emplace();
+    state.m_parser->header_limit(kMaxHeaderBytes);
+    state.m_parser->body_limit(boost::none);
+    if (state.m_head_request)
+      state.m_parser->skip(true);
+    auto [error, count] = co_await http::async_read_header(
+        state.m_stream, state.m_buffer, *state.m_parser, kTuple);
+    if (error)
+      co_return StepError("response head", error);
+    const auto& message = state.m_parser->get();
+    if (message.result_int() / 100 == 1)
+      continue;
+    ResponseHead head{.m_status =
+                          static_cast<std::uint16_t>(message.result_int())};
+    for (const auto& field : message) {
+      head.m_headers.push_back({.m_name = std::string(field.name_string()),
+                                .m_value = std::string(field.value())});
+    }
+    if (state.m_parser->content_length())
+      head.m_content_length = *state.m_parser->content_length();
+    else if (state.m_parser->is_done())
+      head.m_content_length = 0;
+    state.m_reusable = state.m_parser->is_done() && message.keep_alive();
+    co_return head;
+  }
+  co_return MakeError(ErrorCode::kIo,
+                      "response head: too many informational responses");
+}
+
+asio::awaitable<Result<std::size_t>> HttpConnection::ReadSome(
+    std::span<char> buffer) {
+  State& state = *m_state;
+  if (state.m_parser->need_eof() && !state.m_parser->is_done()) {
+    // The close of the connection would be the only sign of the end, and a
+    // crash looks the same.
+    co_return MakeError(ErrorCode::kIo,
+                        "response body: neither a length nor chunks");
+  }
+  while (!state.m_parser->is_done()) {
+    auto& body = state.m_parser->get().body();
+    body.data = buffer.data();
+    body.size = buffer.size();
+    auto [error, count] = co_await http::async_read_some(
+        state.m_stream, state.m_buffer, *state.m_parser, kTuple);
+    if (error && error != http::error::need_buffer)
+      co_return StepError("response body", error);
+    const std::size_t received = buffer.size() - body.size;
+    if (received > 0)
+      co_return received;
+  }
+  state.m_reusable = state.m_parser->get().keep_alive();
+  co_return std::size_t{0};
+}
+
+bool HttpConnection::Reusable() const {
+  return m_state->m_reusable && m_state->m_buffer.size() == 0;
+}
+
+bool HttpConnection::Stale() const {
+  char byte = 0;
+  const ssize_t count = ::recv(m_state->m_stream.socket().native_handle(),
+                               &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/http_exchange.h
@@ -0,0 +1,62 @@
+// HttpExchange: one request of a caller and the response to it.
+//
+//   asio::awaitable<void> Handle(HttpExchange& exchange) {
+//     co_await exchange.Respond({.m_status = 200}, "hello\n");
+//   }
+//
+// Belongs to the thread of its connection. A handler that returns without a
+// finished response closes the connection, so that the caller never takes a
+// truncated response for a whole one.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "core/result.h"
+#include "gen/http.h"
+
+namespace jujube::net {
+
+namespace asio = boost::asio;
+
+struct HttpExchangeState;
+
+class HttpExchange {
+ public:
+  explicit HttpExchange(HttpExchangeState& state) : m_state(state) {}
+
+  const RequestHead& Head() const;           // head of the request
+  const std::string& RemoteAddress() const;  // IP address of the caller
+
+  // Reads the next part of the body; 0 at its end.
+  asio::awaitable<Result<std::size_t>> ReadSome(std::span<char> buffer);
+  // Reads the rest of the body; an error if it is larger than max_bytes.
+  asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
+  bool BodyDone() const;  // the whole body was read
+
+  // Sends a whole response.
+  asio::awaitable<Status> Respond(ResponseHead head, std::string_view body);
+
+  // Sends a response in parts: Begin, Write any number of times, End. Without
+  // a length in the head the body is chunked.
+  asio::awaitable<Status> Begin(ResponseHead head);
+  asio::awaitable<Status> Write(std::string_view data);
+  asio::awaitable<Status> End();
+  bool Started() const;  // a response was begun
+
+  // Returns when the caller has closed the connection. Only after the body
+  // was read.
+  asio::awaitable<void> WaitForDisconnect();
+
+ private:
+  HttpExchangeState& m_state;
+};
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/http_listener.cc
@@ -0,0 +1,418 @@
+#include "net/http_listener.h"
+
+#include <array>
+#include <atomic>
+#include <set>
+#include <string>
+#include <utility>
+
+#include <sys/socket.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "net/http_fields.h"
+
+namespace jujube::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadBufferBytes = 65536;
+// An unread rest of a request body up to this size is read and dropped, so
+// that the connection stays usable.
+constexpr std::size_t kMaxDiscardedBytes = 65536;
+
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+Error ConnectionError(const beast::error_code& error) {
+  return MakeError(ErrorCode::kIo,
+                   "connection of a caller: " + error.message());
+}
+
+}  // namespace
+
+// Parser and serializer of one request and its response.
+struct HttpExchangeState {
+  explicit HttpExchangeState(beast::tcp_stream& stream,
+                             beast::flat_buffer& buffer)
+      : m_stream(stream), m_buffer(buffer) {}
+
+  beast::tcp_stream& m_stream;
+  beast::flat_buffer& m_buffer;
+  http::request_parser<http::buffer_body> m_parser;
+  http::response<http::buffer_body> m_response;
+  std::optional<http::response_serializer<http::buffer_body>> m_serializer;
+  RequestHead m_head;
+  std::string m_remote;
+  std::chrono::milliseconds m_body_timeout{0};
+  const std::atomic<bool>* m_announce_close = nullptr;
+  bool m_started = false;
+  bool m_finished = false;
+  bool m_keep_alive = true;
+};
+
+namespace {
+
+void FillHead(HttpExchangeState& state) {
+  const auto& message = state.m_parser.get();
+  state.m_head.m_method = std::string(message.method_string());
+  state.m_head.m_target = std::string(message.target());
+  for (const auto& field : message) {
+    state.m_head.m_headers.push_back(
+        {.m_name = std::string(field.name_string()),
+         .m_value = std::string(field.value())});
+  }
+  if (state.m_parser.content_length())
+    state.m_head.m_content_length = *state.m_parser.content_length();
+  state.m_head.m_has_body = !state.m_parser.is_done();
+}
+
+void SetTimeout(beast::tcp_stream& stream, std::chrono::milliseconds timeout) {
+  stream.expires_after(timeout);
+}
+
+// Tells the caller what is wrong with a head that could not be parsed.
+asio::awaitable<void> RefuseHead(beast::tcp_stream& stream,
+                                 beast::error_code error) {
+  const bool too_large = error == http::error::header_limit;
+  const std::string body =
+      "{\"error\":\"malformed request: " + error.message() +
+      "\",\"verdict\":\"not-run\"}\n";
+  const std::string response =
+      std::string("HTTP/1.1 ") +
+      (too_large ? "431 Request Header Fields Too Large" : "400 Bad Request") +
+      "\r\nConnection: close\r\nJujube-Verdict: not-run\r\n"
+      "Content-Type: application/json\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  co_await asio::async_write(stream, asio::buffer(response), kTuple);
+}
+
+bool IsParseError(const beast::error_code& error) {
+  return error.category() ==
+             http::make_error_code(http::error::bad_version).category() &&
+         error != http::error::end_of_stream;
+}
+
+}  // namespace
+
+const RequestHead& HttpExchange::Head() const {
+  return m_state.m_head;
+}
+
+const std::string& HttpExchange::RemoteAddress() const {
+  return m_state.m_remote;
+}
+
+bool HttpExchange::BodyDone() const {
+  return m_state.m_parser.is_done();
+}
+
+bool HttpExchange::Started() const {
+  return m_state.m_started;
+}
+
+asio::awaitable<Result<std::size_t>> HttpExchange::ReadSome(
+    std::span<char> buffer) {
+  HttpExchangeState& state = m_state;
+  while (!state.m_parser.is_done()) {
+    auto& body = state.m_parser.get().body();
+    body.data = buffer.data();
+    body.size = buffer.size();
+    SetTimeout(state.m_stream, state.m_body_timeout);
+    auto [error, count] = co_await http::async_read_some(
+        state.m_stream, state.m_buffer, state.m_parser, kTuple);
+    state.m_stream.expires_never();
+    if (error && error != http::error::need_buffer)
+      co_return ConnectionError(error);
+    const std::size_t received = buffer.size() - body.size;
+    if (received > 0)
+      co_return received;
+  }
+  co_return std::size_t{0};
+}
+
+asio::awaitable<Result<std::string>> HttpExchange::ReadAll(
+    std::size_t max_bytes) {
+  const auto too_large = [&] {
+    return MakeError(
+        ErrorCode::kInvalidInput,
+        "the body is larger than " + std::to_string(max_bytes) + " bytes");
+  };
+  if (m_state.m_head.m_content_length.value_or(0) > max_bytes)
+    co_return too_large();
+  std::string body;
+  std::array<char, 16384> part{};
+  while (true) {
+    const Result<std::size_t> count = co_await ReadSome(part);
+    if (!count)
+      co_return count.error();
+    if (count.value() == 0)
+      co_return body;
+    if (body.size() + count.value() > max_bytes)
+      co_return too_large();
+    body.append(part.data(), count.value());
+  }
+}
+
+asio::awaitable<Status> HttpExchange::Begin(ResponseHead head) {
+  HttpExchangeState& state = m_state;
+  state.m_started = true;
+  state.m_response.result(head.m_status);
+  state.m_response.version(11);
+  for (const Header& header : head.m_headers) {
+    if (!IsHopByHop(header.m_name))
+      state.m_response.insert(header.m_name, header.m_value);
+  }
+  const bool close = state.m_announce_close->load(std::memory_order_relaxed) ||
+                     !state.m_parser.is_done();
+  state.m_keep_alive = state.m_parser.keep_alive() && !close;
+  state.m_response.keep_alive(state.m_keep_alive);
+  if (head.m_content_length)
+    state.m_response.content_length(*head.m_content_length);
+  else
+    state.m_response.chunked(true);
+  state.m_response.body().data = nullptr;
+  state.m_response.body().more = true;
+  state.m_serializer.emplace(state.m_response);
+  SetTimeout(state.m_stream, state.m_body_timeout);
+  auto [error, count] = co_await http::async_write_header(
+      state.m_stream, *state.m_serializer, kTuple);
+  state.m_stream.expires_never();
+  if (error)
+    co_return ConnectionError(error);
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpExchange::Write(std::string_view data) {
+  HttpExchangeState& state = m_state;
+  if (data.empty())
+    co_return Success();
+  auto& body = state.m_response.body();
+  // Beast takes a mutable pointer and does not write through it.
+  body.data = const_cast<char*>(data.data());
+  body.size = data.size();
+  body.more = true;
+  SetTimeout(state.m_stream, state.m_body_timeout);
+  auto [error, count] =
+      co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
+  state.m_stream.expires_never();
+  if (error && error != http::error::need_buffer)
+    co_return ConnectionError(error);
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpExchange::End() {
+  HttpExchangeState& state = m_state;
+  auto& body = state.m_response.body();
+  body.data = nullptr;
+  body.size = 0;
+  body.more = false;
+  SetTimeout(state.m_stream, state.m_body_timeout);
+  auto [error, count] =
+      co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
+  state.m_stream.expires_never();
+  if (error)
+    co_return ConnectionError(error);
+  state.m_finished = true;
+  co_return Success();
+}
+
+asio::awaitable<Status> HttpExchange::Respond(ResponseHead head,
+                                              std::string_view body) {
+  head.m_content_length = body.size();
+  Status status = co_await Begin(std::move(head));
+  if (status)
+    status = co_await Write(body);
+  if (status)
+    status = co_await End();
+  co_return status;
+}
+
+asio::awaitable<void> HttpExchange::WaitForDisconnect() {
+  tcp::socket& socket = m_state.m_stream.socket();
+  auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kTuple);
+  char byte = 0;
+  const bool data_waits = !error && ::recv(socket.native_handle(), &byte, 1,
+                                           MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (!data_waits)
+    co_return;
+  // The next request has arrived early, so the caller is still there.
+  asio::steady_timer timer(co_await asio::this_coro::executor,
+                           asio::steady_timer::time_point::max());
+  co_await timer.async_wait(kTuple);
+}
+
+struct HttpListener::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, HttpHandler handler, HttpListenerOptions options)
+      : m_acceptor(io), m_handler(std::move(handler)), m_options(options) {}
+
+  asio::awaitable<void> Accept();
+  asio::awaitable<void> Serve(tcp::socket socket);
+  asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buffer,
+                                 const std::string& remote);
+
+  tcp::acceptor m_acceptor;
+  const HttpHandler m_handler;
+  const HttpListenerOptions m_options;
+  std::set<beast::tcp_stream*> m_idle;
+  std::atomic<std::size_t> m_open = 0;
+  std::atomic<bool> m_announce_close = false;
+  bool m_closed = false;
+};
+
+asio::awaitable<void> HttpListener::State::Accept() {
+  const auto self = shared_from_this();
+  while (!m_closed) {
+    auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
+    if (error == asio::error::operation_aborted || m_closed)
+      co_return;
+    if (error) {
+      // Out of file descriptors: wait for some to be closed.
+      asio::steady_timer timer(m_acceptor.get_executor(),
+                               std::chrono::milliseconds(50));
+      co_await timer.async_wait(kTuple);
+      continue;
+    }
+    if (m_open.load(std::memory_order_relaxed) >= m_options.m_max_connections)
+      continue;
+    asio::co_spawn(m_acceptor.get_executor(), Serve(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpListener::State::Serve(tcp::socket socket) {
+  const auto self = shared_from_this();
+  m_open.fetch_add(1, std::memory_order_relaxed);
+  beast::error_code error;
+  socket.set_option(tcp::no_delay(true), error);
+  const auto endpoint = socket.remote_endpoint(error);
+  const std::string remote = error ? "" : endpoint.address().to_string();
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer(kReadBufferBytes);
+  try {
+    while (co_await ServeOne(stream, buffer, remote)) {
+    }
+  } catch (const std::exception&) {
+    // A cancelled operation or lack of memory ends this connection only.
+  }
+  stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  m_open.fetch_sub(1, std::memory_order_relaxed);
+}
+
+// Serves one request; false when the connection is to be closed.
+asio::awaitable<bool> HttpListener::State::ServeOne(beast::tcp_stream& stream,
+                                                    beast::flat_buffer& buffer,
+                                                    const std::string& remote) {
+  HttpExchangeState state(stream, buffer);
+  state.m_remote = remote;
+  state.m_body_timeout = m_options.m_body_timeout;
+  state.m_announce_close = &m_announce_close;
+  state.m_parser.header_limit(
+      static_cast<std::uint32_t>(m_options.m_max_header_bytes));
+  state.m_parser.body_limit(boost::none);
+  if (m_closed)
+    co_return false;
+  m_idle.insert(&stream);
+  SetTimeout(stream, m_options.m_idle_timeout);
+  auto [error, count] =
+      co_await http::async_read_header(stream, buffer, state.m_parser, kTuple);
+  stream.expires_never();
+  m_idle.erase(&stream);
+  if (error) {
+    if (IsParseError(error))
+      co_await RefuseHead(stream, error);
+    co_return false;
+  }
+  FillHead(state);
+  if (beast::iequals(state.m_parser.get()[http::field::expect],
+                     "100-continue")) {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(stream, asio::buffer(kContinue), kTuple);
+  }
+  HttpExchange exchange(state);
+  co_await m_handler(exchange);
+  if (!state.m_finished)
+    co_return false;
+  if (!state.m_parser.is_done()) {
+    co_await exchange.ReadAll(kMaxDiscardedBytes);
+    co_return false;
+  }
+  co_return state.m_keep_alive;
+}
+
+HttpListener::HttpListener(asio::io_context& io,
+                           HttpHandler handler,
+                           HttpListenerOptions options)
+    : m_state(std::make_shared<State>(io, std::move(handler), options)) {}
+
+HttpListener::~HttpListener() {
+  beast::error_code error;
+  m_state->m_closed = true;
+  m_state->m_acceptor.close(error);
+}
+
+Result<std::uint16_t> HttpListener::Listen(const Endpoint& endpoint) {
+  const auto failure = [&](const beast::error_code& error) {
+    return MakeError(ErrorCode::kIo, endpoint.m_address + ":" +
+                                         std::to_string(endpoint.m_port) +
+                                         ": " + error.message());
+  };
+  beast::error_code error;
+  const auto address = asio::ip::make_address(endpoint.m_address, error);
+  if (error)
+    return failure(error);
+  const tcp::endpoint local(address, endpoint.m_port);
+  tcp::acceptor& acceptor = m_state->m_acceptor;
+  acceptor.open(local.protocol(), error);
+  if (!error)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor.set_option(ReusePort(true), error);
+  if (!error)
+    acceptor.bind(local, error);
+  if (!error)
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return failure(error);
+  asio::co_spawn(acceptor.get_executor(), m_state->Accept(), asio::detached);
+  return acceptor.local_endpoint().port();
+}
+
+void HttpListener::AnnounceClose() {
+  m_state->m_announce_close.store(true, std::memory_order_relaxed);
+}
+
+void HttpListener::Close() {
+  asio::post(m_state->m_acceptor.get_executor(), [state = m_state] {
+    beast::error_code error;
+    state->m_closed = true;
+    state->m_announce_close.store(true, std::memory_order_relaxed);
+    state->m_acceptor.close(error);
+    for (beast::tcp_stream* stream : state->m_idle)
+      stream->cancel();
+  });
+}
+
+std::size_t HttpListener::OpenConnections() const {
+  return m_state->m_open.load(std::memory_order_relaxed);
+}
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/standin/run_log.cc
@@ -0,0 +1,27 @@
+#include "standin/run_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace jujube::standin {
+
+RunLog::RunLog(const std::string& path) {
+  if (!path.empty())
+    m_file =
+        ::open(path.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
+}
+
+RunLog::~RunLog() {
+  if (m_file >= 0)
+    ::close(m_file);
+}
+
+void RunLog::Append(const std::string& line) const {
+  if (m_file < 0)
+    return;
+  const std::string text = line + "\n";
+  [[maybe_unused]] const ssize_t count =
+      ::write(m_file, text.data(), text.size());
+}
+
+}  // namespace jujube::standin
--- /dev/null
+++ b/src/standin/run_log.h
@@ -0,0 +1,26 @@
+// RunLog: a line for each request that ran at a stand-in upstream. Tests count
+// the lines to check that a request ran at most once.
+
+#pragma once
+
+#include <string>
+
+namespace jujube::standin {
+
+class RunLog {
+ public:
+  // An empty path writes nothing.
+  explicit RunLog(const std::string& path);
+  ~RunLog();
+  RunLog(const RunLog&) = delete;
+  RunLog& operator=(const RunLog&) = delete;
+
+  // Appends the line with a single write, so that lines of several processes
+  // do not mix and survive the end of this one.
+  void Append(const std::string& line) const;
+
+ private:
+  int m_file = -1;
+};
+
+}  // namespace jujube::standin
