--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -15,6 +15,9 @@
     case LogEvent::kFrameRefused:
       return {110, LogLevel::kWarning, "FrameRefused",
               "frame from a peer refused"};
+    case LogEvent::kSpanFileFailed:
+      return {190, LogLevel::kWarning, "SpanFileFailed",
+              "span file cannot be written"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -17,6 +17,7 @@
   kStopped = 101,          // process stopped
   kSettingsRefused = 102,  // settings refused
   kFrameRefused = 110,     // frame from a peer refused
+  kSpanFileFailed = 190,   // span file cannot be written
 };
 
 struct LogEventInfo {
--- a/src/gen/metrics.h
+++ b/src/gen/metrics.h
@@ -15,11 +15,14 @@
 enum class MetricKind : std::uint8_t { kCounter, kGauge, kHistogram };
 
 enum class Metric : std::uint16_t {
-  kConfigIndex,     // feed index in force
-  kLookups,         // look-ups answered
-  kRequestSeconds,  // time from the request head to the end of the answer
-  kInProgress,      // requests in progress
-  kRequests,        // requests by verdict
+  kConfigIndex,         // feed index in force
+  kLogLinesSuppressed,  // log lines left out by the budgets of their events
+  kLookups,             // look-ups answered
+  kRequestSeconds,      // time from the request head to the end of the answer
+  kInProgress,          // requests in progress
+  kRequests,            // requests by verdict
+  kSpansDropped,        // spans lost to a full queue or a failed write
+  kSpansExported,       // spans written to the span file
 };
 
 struct MetricInfo {
@@ -29,9 +32,11 @@
   std::string_view m_help;
 };
 
-inline constexpr std::array<MetricInfo, 5> kMetrics = {{
+inline constexpr std::array<MetricInfo, 8> kMetrics = {{
     {MetricKind::kGauge, "jujube_config_index", "",
      "feed index in force [index]"},
+    {MetricKind::kCounter, "jujube_log_lines_suppressed_total", "",
+     "log lines left out by the budgets of their events [lines]"},
     {MetricKind::kCounter, "jujube_lookups_total", "",
      "look-ups answered [look-ups]"},
     {MetricKind::kHistogram, "jujube_request_seconds", "service",
@@ -40,6 +45,10 @@
      "requests in progress [requests]"},
     {MetricKind::kCounter, "jujube_requests_total", "verdict",
      "requests by verdict [requests]"},
+    {MetricKind::kCounter, "jujube_spans_dropped_total", "",
+     "spans lost to a full queue or a failed write [spans]"},
+    {MetricKind::kCounter, "jujube_spans_exported_total", "",
+     "spans written to the span file [spans]"},
 }};
 
 }  // namespace jujube
