--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -15,6 +15,25 @@
     case LogEvent::kFrameRefused:
       return {110, LogLevel::kWarning, "FrameRefused",
               "frame from a peer refused"};
+    case LogEvent::kHandshakeFailed:
+      return {120, LogLevel::kWarning, "HandshakeFailed",
+              "handshake with a peer failed"};
+    case LogEvent::kConnectionLimit:
+      return {121, LogLevel::kWarning, "ConnectionLimit",
+              "connection refused, limit reached"};
+    case LogEvent::kPeerTooSlow:
+      return {122, LogLevel::kWarning, "PeerTooSlow",
+              "connection closed, peer reads nothing"};
+    case LogEvent::kAcceptFailed:
+      return {123, LogLevel::kError, "AcceptFailed",
+              "accepting a connection failed"};
+    case LogEvent::kFeedParentChanged:
+      return {130, LogLevel::kInfo, "FeedParentChanged", "feed parent changed"};
+    case LogEvent::kFeedGap:
+      return {131, LogLevel::kInfo, "FeedGap", "feed has a gap, asking again"};
+    case LogEvent::kFeedRefused:
+      return {132, LogLevel::kError, "FeedRefused",
+              "message of the feed refused"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -13,10 +13,17 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 enum class LogEvent : std::uint16_t {
-  kStarted = 100,          // process started
-  kStopped = 101,          // process stopped
-  kSettingsRefused = 102,  // settings refused
-  kFrameRefused = 110,     // frame from a peer refused
+  kStarted = 100,            // process started
+  kStopped = 101,            // process stopped
+  kSettingsRefused = 102,    // settings refused
+  kFrameRefused = 110,       // frame from a peer refused
+  kHandshakeFailed = 120,    // handshake with a peer failed
+  kConnectionLimit = 121,    // connection refused, limit reached
+  kPeerTooSlow = 122,        // connection closed, peer reads nothing
+  kAcceptFailed = 123,       // accepting a connection failed
+  kFeedParentChanged = 130,  // feed parent changed
+  kFeedGap = 131,            // feed has a gap, asking again
+  kFeedRefused = 132,        // message of the feed refused
 };
 
 struct LogEventInfo {
--- a/src/gen/metrics.h
+++ b/src/gen/metrics.h
@@ -15,11 +15,22 @@
 enum class MetricKind : std::uint8_t { kCounter, kGauge, kHistogram };
 
 enum class Metric : std::uint16_t {
-  kConfigIndex,     // feed index in force
-  kLookups,         // look-ups answered
-  kRequestSeconds,  // time from the request head to the end of the answer
-  kInProgress,      // requests in progress
-  kRequests,        // requests by verdict
+  kConfigIndex,         // feed index in force
+  kFeedSnapshots,       // snapshots started for subscribers
+  kFeedSubscribers,     // subscribers of the feed of this process
+  kFrameBytesReceived,  // bytes of received frames
+  kFrameBytesSent,      // bytes of sent frames
+  kFrameQueueFull,    // messages not queued because the queue of the connection
+                      // was full
+  kFramesReceived,    // frames received from processes of the system
+  kFramesRefused,     // frames refused as malformed, too large or not authentic
+  kFramesSent,        // frames sent to processes of the system
+  kHandshakesFailed,  // handshakes that failed or timed out
+  kLateReplies,       // replies dropped because their deadline had passed
+  kLookups,           // look-ups answered
+  kRequestSeconds,    // time from the request head to the end of the answer
+  kInProgress,        // requests in progress
+  kRequests,          // requests by verdict
 };
 
 struct MetricInfo {
@@ -29,9 +40,30 @@
   std::string_view m_help;
 };
 
-inline constexpr std::array<MetricInfo, 5> kMetrics = {{
+inline constexpr std::array<MetricInfo, 15> kMetrics = {{
     {MetricKind::kGauge, "jujube_config_index", "",
      "feed index in force [index]"},
+    {MetricKind::kCounter, "jujube_feed_snapshots_total", "",
+     "snapshots started for subscribers [snapshots]"},
+    {MetricKind::kGauge, "jujube_feed_subscribers", "",
+     "subscribers of the feed of this process [subscribers]"},
+    {MetricKind::kCounter, "jujube_frame_bytes_received_total", "",
+     "bytes of received frames [bytes]"},
+    {MetricKind::kCounter, "jujube_frame_bytes_sent_total", "",
+     "bytes of sent frames [bytes]"},
+    {MetricKind::kCounter, "jujube_frame_queue_full_total", "",
+     "messages not queued because the queue of the connection was full "
+     "[messages]"},
+    {MetricKind::kCounter, "jujube_frames_received_total", "",
+     "frames received from processes of the system [frames]"},
+    {MetricKind::kCounter, "jujube_frames_refused_total", "",
+     "frames refused as malformed, too large or not authentic [frames]"},
+    {MetricKind::kCounter, "jujube_frames_sent_total", "",
+     "frames sent to processes of the system [frames]"},
+    {MetricKind::kCounter, "jujube_handshakes_failed_total", "",
+     "handshakes that failed or timed out [handshakes]"},
+    {MetricKind::kCounter, "jujube_late_replies_total", "",
+     "replies dropped because their deadline had passed [replies]"},
     {MetricKind::kCounter, "jujube_lookups_total", "",
      "look-ups answered [look-ups]"},
     {MetricKind::kHistogram, "jujube_request_seconds", "service",
--- /dev/null
+++ b/src/net/call_result.h
@@ -0,0 +1,28 @@
+// CallResult: the outcome of a request to another process of the system.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "core/error.h"
+
+namespace jujube::net {
+
+// Whether a request without a reply may have reached the peer.
+enum class Delivery : std::uint8_t {
+  kNotSent,  // no byte was written; sending elsewhere repeats nothing
+  kUnknown,  // the peer may have acted on it
+};
+
+template <class Reply>
+struct CallResult {
+  std::optional<Reply> m_reply;  // set on success
+  Error m_error;                 // otherwise; kTimeout, kUnavailable, ...
+  Delivery m_delivery = Delivery::kUnknown;
+
+  explicit operator bool() const { return m_reply.has_value(); }
+  friend auto operator<=>(const CallResult&, const CallResult&) = default;
+};
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/frame_client.h
@@ -0,0 +1,114 @@
+// FrameClient: a persistent connection to one endpoint.
+//
+//   net::FrameClient client(context, options, {"10.0.0.1", 7400}, {});
+//   client.Start();
+//   client.Call<ClaimReply>(request, deadline,
+//                           [](const net::CallResult<ClaimReply>& result) {
+//     if (result) ...
+//     else if (result.m_delivery == net::Delivery::kNotSent) ...
+//   });
+//
+// In a coroutine, net/frame_call.h:
+//   const auto result = co_await net::Call<ClaimReply>(client, request,
+//   deadline);
+//
+// It reconnects with jittered backoff until Stop. A request while there is no
+// connection fails at once as kNotSent, so that the caller can go elsewhere.
+// Belongs to the thread of its io_context; call every member there.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "core/clock.h"
+#include "core/result.h"
+#include "gen/types.h"
+#include "net/call_result.h"
+#include "net/frame_dispatch.h"
+#include "net/frame_options.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace jujube::net {
+
+class FrameClient {
+ public:
+  // handlers: of the one-way messages that the peer may send.
+  FrameClient(boost::asio::io_context& context,
+              FrameOptions options,
+              Endpoint endpoint,
+              FrameDispatch handlers);
+  ~FrameClient();  // stops
+  FrameClient(const FrameClient&) = delete;
+  FrameClient& operator=(const FrameClient&) = delete;
+
+  // Called with true after each handshake and with false after each loss. Set
+  // before Start. Use it to introduce or subscribe on a new connection.
+  void OnConnection(std::function<void(bool connected)> callback);
+
+  void Start();
+
+  // Closes, fails all calls in progress, and calls nothing else afterwards.
+  void Stop();
+
+  bool IsConnected() const;
+  std::uint64_t PeerIncarnation() const;  // 0 while not connected
+
+  // One way. False: not connected or queue full, nothing was sent. True says
+  // only that it was queued.
+  template <class Message>
+  bool Send(const Message& message) {
+    return SendEncoded(FrameTraits<Message>::kType,
+                       std::make_shared<const std::string>(Encode(message)));
+  }
+  bool SendEncoded(FrameType type, SharedPayload payload);
+
+  // Calls back exactly once, never from within Call. A reply after the deadline
+  // is dropped and counted.
+  template <class Reply, class Request, class Callback>
+  void Call(const Request& request, MonoTime deadline, Callback callback) {
+    CallEncoded(
+        FrameTraits<Request>::kType,
+        std::make_shared<const std::string>(Encode(request)), deadline,
+        [callback = std::move(callback)](const CallResult<std::string>& raw,
+                                         std::uint16_t type) mutable {
+          callback(DecodeReply<Reply>(raw, type));
+        });
+  }
+
+ private:
+  struct Impl;
+  using RawCallback = std::function<void(const CallResult<std::string>& raw,
+                                         std::uint16_t type)>;
+
+  void CallEncoded(FrameType type,
+                   SharedPayload payload,
+                   MonoTime deadline,
+                   RawCallback callback);
+
+  template <class Reply>
+  static CallResult<Reply> DecodeReply(const CallResult<std::string>& raw,
+                                       std::uint16_t type) {
+    if (!raw)
+      return {.m_error = raw.m_error, .m_delivery = raw.m_delivery};
+    if (type != static_cast<std::uint16_t>(FrameTraits<Reply>::kType)) {
+      return {.m_error =
+                  MakeError(ErrorCode::kInvalidInput,
+                            "reply has frame type " + std::to_string(type))};
+    }
+    auto decoded = FrameTraits<Reply>::Decode(*raw.m_reply);
+    if (!decoded)
+      return {.m_error = std::move(decoded).error()};
+    return {.m_reply = std::move(decoded).value()};
+  }
+
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/worker_group.h
@@ -0,0 +1,49 @@
+// WorkerGroup: threads that each run their own io_context.
+//
+//   net::WorkerGroup workers(4);
+//   workers.Post(0, [] { ... });      // runs on thread 0
+//   net::FrameServer server(workers.Context(0), ...);
+//   workers.Stop();                   // or the destructor
+//
+// Each thread is registered for read sections (rcu/thread.h) and blocks in the
+// kernel while it has nothing to do.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace jujube::net {
+
+class WorkerGroup {
+ public:
+  explicit WorkerGroup(std::size_t threads);
+  ~WorkerGroup();  // stops
+  WorkerGroup(const WorkerGroup&) = delete;
+  WorkerGroup& operator=(const WorkerGroup&) = delete;
+
+  std::size_t size() const;
+  boost::asio::io_context& Context(std::size_t index);
+
+  // Runs the task on a thread. From any thread.
+  void Post(std::size_t index, std::function<void()> task);
+
+  // Runs the task on a thread and waits until it has ended. Not from a thread
+  // of the group.
+  void Run(std::size_t index, std::function<void()> task);
+
+  // Ends the threads after the handlers that are running; others are dropped.
+  // Not from a thread of the group.
+  void Stop();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/wire/handshake.h
@@ -0,0 +1,80 @@
+// Handshake: both ends prove that they hold the key, then derive session keys.
+//
+//   client                                   server
+//   ClientHello(party)            --->
+//                                 <---       ServerHello(key, hello, party)
+//   AcceptServerHello(...)        --->       AcceptClientProof(...)
+//
+// Each step is a function of values; the caller keeps the bytes that it sent.
+// A proof covers the nonces and incarnations of both ends, so a recorded
+// handshake is of no use on a new connection. The server proves itself first:
+// a client with the wrong key learns so without a further round trip.
+
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/result.h"
+
+namespace jujube::wire {
+
+inline constexpr std::size_t kNonceBytes = 32;
+inline constexpr std::size_t kProofBytes = 32;
+inline constexpr std::size_t kMinKeyBytes = 16;  // 128 bits
+inline constexpr std::size_t kClientHelloBytes = 8 + 8 + kNonceBytes;
+inline constexpr std::size_t kServerHelloBytes =
+    kClientHelloBytes + kProofBytes;
+inline constexpr std::size_t kClientProofBytes = kProofBytes;
+
+// One end of a handshake.
+struct HandshakeParty {
+  std::string m_nonce;              // kNonceBytes, new for each handshake
+  std::uint64_t m_incarnation = 0;  // of the process
+
+  friend auto operator<=>(const HandshakeParty&,
+                          const HandshakeParty&) = default;
+};
+
+// What an end knows after a successful handshake.
+struct Session {
+  std::string m_send_key;                // 32 bytes
+  std::string m_receive_key;             // 32 bytes
+  std::uint64_t m_peer_incarnation = 0;  // proven by the peer
+
+  friend auto operator<=>(const Session&, const Session&) = default;
+};
+
+// What a client sends after a valid server hello, and its session.
+struct ClientAcceptance {
+  std::string m_proof;  // kClientProofBytes
+  Session m_session;
+
+  friend auto operator<=>(const ClientAcceptance&,
+                          const ClientAcceptance&) = default;
+};
+
+// kClientHelloBytes.
+std::string ClientHello(const HandshakeParty& client);
+
+// kServerHelloBytes. kInvalidInput: the hello is malformed.
+Result<std::string> ServerHello(std::string_view key,
+                                std::string_view client_hello,
+                                const HandshakeParty& server);
+
+// At the client. kRefused: the server does not hold the key.
+Result<ClientAcceptance> AcceptServerHello(std::string_view key,
+                                           const HandshakeParty& client,
+                                           std::string_view server_hello);
+
+// At the server, with the bytes of both hellos. kRefused: the client does not
+// hold the key.
+Result<Session> AcceptClientProof(std::string_view key,
+                                  std::string_view client_hello,
+                                  std::string_view server_hello,
+                                  std::string_view client_proof);
+
+}  // namespace jujube::wire
