--- /dev/null
+++ b/src/entry/attempt_runner.cc
@@ -0,0 +1,251 @@
+#include "entry/attempt_runner.h"
+
+#include <array>
+#include <utility>
+
+#include "entry/refusal.h"
+#include "net/http_fields.h"
+
+namespace jujube::entry {
+
+namespace asio = boost::asio;
+using request::AttemptEvent;
+
+namespace {
+
+constexpr std::size_t kPartBytes = 16384;
+constexpr std::string_view kStartedField = "Jujube-Started";
+constexpr std::string_view kVerdictField = "Jujube-Verdict";
+
+std::vector<Header> EndToEnd(const std::vector<Header>& headers) {
+  std::vector<Header> kept;
+  for (const Header& header : headers) {
+    if (!net::IsHopByHop(header.m_name) &&
+        !net::EqualsIgnoreCase(header.m_name, kVerdictField))
+      kept.push_back(header);
+  }
+  kept.push_back(
+      {std::string(kVerdictField), std::string(VerdictText(Verdict::kRan))});
+  return kept;
+}
+
+bool FailedByDeadline(const Error& error) {
+  return error.m_code == ErrorCode::kTimeout;
+}
+
+}  // namespace
+
+void AttemptRunner::Note(AttemptEvent event) {
+  m_result.m_attempt = request::Next(m_result.m_attempt, event);
+}
+
+void AttemptRunner::Fail(Failure failure, const Error& error) {
+  if (m_result.m_failure)
+    return;
+  m_result.m_failure = FailedByDeadline(error) ? Failure::kTimeout : failure;
+  m_result.m_error = error.m_message;
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::Run(
+    const Endpoint& endpoint,
+    std::uint64_t incarnation,
+    const OutgoingRequest& request,
+    bool may_reuse) {
+  if (!co_await Open(endpoint, incarnation, may_reuse))
+    co_return std::move(m_result);
+  if (!co_await Send(request))
+    co_return std::move(m_result);
+  std::optional<ResponseHead> head = co_await ReadHead();
+  if (!head)
+    co_return std::move(m_result);
+  const bool has_body = request.m_head.m_method != "HEAD";
+  co_await TakeResponse(*std::move(head), has_body);
+  const bool is_whole = !m_result.m_failure ||
+                        *m_result.m_failure == Failure::kNotStarted;
+  if (is_whole && m_connection != nullptr) {
+    m_pool.Return(endpoint, incarnation, std::move(m_connection),
+                  MonoClock::now());
+  }
+  co_return std::move(m_result);
+}
+
+asio::awaitable<bool> AttemptRunner::Open(const Endpoint& endpoint,
+                                          std::uint64_t incarnation,
+                                          bool may_reuse) {
+  if (may_reuse)
+    m_connection = m_pool.TakeIdle(endpoint, incarnation, MonoClock::now());
+  if (m_connection != nullptr) {
+    m_result.m_attempt.m_is_reused_connection = true;
+    m_connection->SetDeadline(m_deadline);
+    co_return true;
+  }
+  m_connection = m_pool.MakeNew();
+  m_connection->SetDeadline(m_deadline);
+  const Status connected = co_await m_connection->Connect(endpoint);
+  if (!connected)
+    Fail(Failure::kConnectFailed, connected.error());
+  co_return connected.has_value();
+}
+
+asio::awaitable<bool> AttemptRunner::Send(const OutgoingRequest& request) {
+  const bool allowed =
+      co_await m_pacer.Pass(LinkDirection::kToUpstream,
+                            request.m_body.size() + kPartBytes / 16, m_deadline);
+  if (!allowed) {
+    Fail(Failure::kTimeout,
+         MakeError(ErrorCode::kTimeout, "the link had no room in time"));
+    co_return false;
+  }
+  Note(AttemptEvent::kSendStarted);
+  const Status sent = co_await m_connection->SendHead(request.m_head);
+  if (!sent) {
+    Fail(Failure::kWriteFailed, sent.error());
+    co_return false;
+  }
+  if (request.m_head.m_has_body) {
+    if (!co_await SendPart(request.m_body))
+      co_return false;
+    if (request.m_streams_rest && !co_await SendRest())
+      co_return false;
+    const Status ended = co_await m_connection->EndBody();
+    if (!ended) {
+      Fail(Failure::kWriteFailed, ended.error());
+      co_return false;
+    }
+  }
+  Note(AttemptEvent::kSent);
+  co_return true;
+}
+
+asio::awaitable<bool> AttemptRunner::SendPart(std::string_view data) {
+  const Status sent = co_await m_connection->SendBody(data);
+  if (!sent)
+    Fail(Failure::kWriteFailed, sent.error());
+  co_return sent.has_value();
+}
+
+asio::awaitable<bool> AttemptRunner::SendRest() {
+  std::array<char, kPartBytes> part{};
+  while (true) {
+    const Result<std::size_t> count = co_await m_exchange.ReadSome(part);
+    if (!count) {
+      Fail(Failure::kCallerGone, count.error());
+      co_return false;
+    }
+    if (count.value() == 0)
+      co_return true;
+    if (!co_await m_pacer.Pass(LinkDirection::kToUpstream, count.value(),
+                               m_deadline)) {
+      Fail(Failure::kTimeout,
+           MakeError(ErrorCode::kTimeout, "the link had no room in time"));
+      co_return false;
+    }
+    if (!co_await SendPart({part.data(), count.value()}))
+      co_return false;
+  }
+}
+
+asio::awaitable<std::optional<ResponseHead>> AttemptRunner::ReadHead() {
+  bool is_caller_gone = false;
+  net::HttpConnection* connection = m_connection.get();
+  m_exchange.Watch([&is_caller_gone, connection] {
+    is_caller_gone = true;
+    connection->Close();
+  });
+  Result<ResponseHead> head = co_await m_connection->ReadHead();
+  m_exchange.Unwatch();
+  if (head)
+    co_return std::move(head).value();
+  if (is_caller_gone) {
+    Fail(Failure::kCallerGone,
+         MakeError(ErrorCode::kIo, "the caller closed its connection"));
+  } else {
+    Fail(Failure::kAnswerCut, head.error());
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<std::size_t>> AttemptRunner::ReadPart(
+    std::span<char> buffer) {
+  const Result<std::size_t> count = co_await m_connection->ReadSome(buffer);
+  if (!count) {
+    Fail(Failure::kAnswerCut, count.error());
+    co_return std::nullopt;
+  }
+  if (!co_await m_pacer.Pass(LinkDirection::kFromUpstream, count.value(),
+                             m_deadline)) {
+    Fail(Failure::kTimeout,
+         MakeError(ErrorCode::kTimeout, "the link had no room in time"));
+    co_return std::nullopt;
+  }
+  co_return count.value();
+}
+
+asio::awaitable<void> AttemptRunner::TakeResponse(ResponseHead head,
+                                                  bool has_body) {
+  const std::string started(
+      net::FindHeader(head.m_headers, kStartedField).value_or(""));
+  const bool not_started = request::SaysNotStarted(head.m_status, started);
+  Note(not_started ? AttemptEvent::kHeadNotStarted : AttemptEvent::kHead);
+  std::string body;
+  std::array<char, kPartBytes> part{};
+  while (has_body) {
+    const std::optional<std::size_t> count = co_await ReadPart(part);
+    if (!count)
+      break;
+    if (*count == 0)
+      break;
+    body.append(part.data(), *count);
+    if (body.size() > kMaxBufferedResponse && !not_started) {
+      co_await Stream(std::move(head), std::move(body));
+      co_return;
+    }
+  }
+  if (not_started) {
+    // The refusal stands even if its body was cut.
+    m_result.m_failure = Failure::kNotStarted;
+    m_result.m_error = "the upstream did not start the request";
+    co_return;
+  }
+  if (m_result.m_failure)
+    co_return;
+  Note(AttemptEvent::kAnswerEnd);
+  m_result.m_answer = StoredAnswer{.m_status = head.m_status,
+                                   .m_headers = EndToEnd(head.m_headers),
+                                   .m_body = std::move(body)};
+}
+
+asio::awaitable<void> AttemptRunner::Stream(ResponseHead head,
+                                            std::string first) {
+  head.m_headers = EndToEnd(head.m_headers);
+  const auto caller_gone = [&](const Status& status) {
+    Fail(Failure::kCallerGone, status.error());
+  };
+  m_result.m_is_head_forwarded = true;
+  Status status = co_await m_exchange.Begin(std::move(head));
+  if (status)
+    status = co_await m_exchange.Write(first);
+  if (!status) {
+    caller_gone(status);
+    co_return;
+  }
+  std::array<char, kPartBytes> part{};
+  while (true) {
+    const std::optional<std::size_t> count = co_await ReadPart(part);
+    if (!count)
+      co_return;
+    if (*count == 0)
+      break;
+    status = co_await m_exchange.Write({part.data(), *count});
+    if (!status) {
+      caller_gone(status);
+      co_return;
+    }
+  }
+  Note(AttemptEvent::kAnswerEnd);
+  status = co_await m_exchange.End();
+  if (!status)
+    caller_gone(status);
+}
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/attempt_runner.h
@@ -0,0 +1,89 @@
+// AttemptRunner: sends a request to one upstream and takes its response.
+//
+// A response of up to kMaxBufferedResponse bytes is read whole before any of it
+// goes to the caller, so that a truncated one can still be replaced by an error
+// or a retry. A larger one is passed on in parts as it arrives.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "core/clock.h"
+#include "entry/connection_pool.h"
+#include "entry/link_pacer.h"
+#include "gen/claims.h"
+#include "gen/http.h"
+#include "net/http_exchange.h"
+#include "request/attempt.h"
+#include "request/failure_decision.h"
+
+namespace jujube::entry {
+
+inline constexpr std::size_t kMaxBufferedResponse = 65536;
+
+// What is sent to the upstream.
+struct OutgoingRequest {
+  RequestHead m_head;
+  std::string m_body;             // the part that was read already
+  bool m_streams_rest = false;    // the rest comes from the caller
+};
+
+struct AttemptResult {
+  request::Attempt m_attempt;     // how far it got
+  std::optional<request::AttemptFailure> m_failure;  // none: whole response
+  std::string m_error;            // detail of the failure
+  bool m_is_head_forwarded = false;  // the caller has a part of the response
+  std::optional<StoredAnswer> m_answer;  // buffered response, not sent yet
+};
+
+class AttemptRunner {
+ public:
+  AttemptRunner(net::HttpExchange& exchange,
+                ConnectionPool& pool,
+                const LinkPacer& pacer,
+                MonoTime deadline)
+      : m_exchange(exchange),
+        m_pool(pool),
+        m_pacer(pacer),
+        m_deadline(deadline) {}
+
+  // `may_reuse`: an idle connection is allowed. A request that must not repeat
+  // gets a new one, since a write on an idle connection that is being closed
+  // leaves it unknown whether the request ran.
+  boost::asio::awaitable<AttemptResult> Run(const Endpoint& endpoint,
+                                            std::uint64_t incarnation,
+                                            const OutgoingRequest& request,
+                                            bool may_reuse);
+
+ private:
+  using Failure = request::AttemptFailure;
+
+  void Note(request::AttemptEvent event);
+  void Fail(Failure failure, const Error& error);
+  boost::asio::awaitable<bool> Open(const Endpoint& endpoint,
+                                    std::uint64_t incarnation,
+                                    bool may_reuse);
+  boost::asio::awaitable<bool> Send(const OutgoingRequest& request);
+  boost::asio::awaitable<bool> SendPart(std::string_view data);
+  boost::asio::awaitable<bool> SendRest();
+  boost::asio::awaitable<std::optional<ResponseHead>> ReadHead();
+  boost::asio::awaitable<void> TakeResponse(ResponseHead head, bool has_body);
+  // Reads a part of the body; 0 at the end; nothing on a failure.
+  boost::asio::awaitable<std::optional<std::size_t>> ReadPart(
+      std::span<char> buffer);
+  boost::asio::awaitable<void> Stream(ResponseHead head, std::string first);
+
+  net::HttpExchange& m_exchange;
+  ConnectionPool& m_pool;
+  const LinkPacer& m_pacer;
+  const MonoTime m_deadline;
+  std::unique_ptr<net::HttpConnection> m_connection;
+  AttemptResult m_result;
+};
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/entry_shared.cc
@@ -0,0 +1,25 @@
+#include "entry/entry_shared.h"
+
+#include <memory>
+#include <utility>
+
+#include "entry/refusal.h"
+#include "observe/metrics.h"
+
+namespace jujube::entry {
+
+EntryShared::EntryShared(EntrySettings settings,
+                         std::uint64_t incarnation,
+                         ServingView first)
+    : m_settings(std::move(settings)),
+      m_incarnation(incarnation),
+      m_view(std::make_unique<const ServingView>(std::move(first))),
+      m_lookups(observe::CounterOf(Metric::kLookups)),
+      m_not_run(observe::CounterOf(Metric::kRequests,
+                                   VerdictText(Verdict::kNotRun))),
+      m_ran(observe::CounterOf(Metric::kRequests, VerdictText(Verdict::kRan))),
+      m_may_have_run(observe::CounterOf(Metric::kRequests,
+                                        VerdictText(Verdict::kMayHaveRun))),
+      m_in_progress_gauge(observe::GaugeOf(Metric::kInProgress)) {}
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/forwarder.cc
@@ -0,0 +1,451 @@
+#include "entry/forwarder.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/hash.h"
+#include "entry/claim_client.h"
+#include "entry/refusal.h"
+#include "limits/topology.h"
+#include "net/http_exchange.h"
+#include "request/idempotency_key.h"
+#include "steering/admission.h"
+#include "steering/retry_decision.h"
+
+// Sections: request state, admission, body and claim, attempts, responses.
+
+namespace jujube::entry {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A repeatable request with a larger body is streamed, and is not retried once
+// a part of its body was taken from the caller.
+constexpr std::size_t kMaxBufferedBody = 65536;
+
+std::uint16_t StatusOf(request::CallerAnswer answer) {
+  switch (answer) {
+    case request::CallerAnswer::kUnavailable:
+      return 503;
+    case request::CallerAnswer::kTimeout:
+      return 504;
+    default:
+      return 502;
+  }
+}
+
+// How the attempt counts for the instance; nothing if it says nothing about it.
+std::optional<steering::Outcome> OutcomeOf(const AttemptResult& result) {
+  if (!result.m_failure) {
+    const bool is_error = result.m_answer && result.m_answer->m_status >= 500;
+    return is_error ? steering::Outcome::kFailure : steering::Outcome::kSuccess;
+  }
+  if (*result.m_failure == request::AttemptFailure::kNotStarted)
+    return steering::Outcome::kShed;
+  const request::FailureDecision decision = request::Decide(
+      result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
+  if (decision.m_counts_as_failure)
+    return steering::Outcome::kFailure;
+  return std::nullopt;
+}
+
+// The response for a claim that was not granted. `unclaimed` is the verdict if
+// the store of claims did not decide on the key.
+Refusal RefusalOfClaim(std::optional<ClaimOutcome> outcome, Verdict unclaimed) {
+  if (!outcome) {
+    return {.m_verdict = unclaimed,
+            .m_reason = "no control host could record the claim in time",
+            .m_retry_after = std::chrono::seconds(1)};
+  }
+  switch (*outcome) {
+    case ClaimOutcome::kFinished:
+      return {.m_status = 409,
+              .m_verdict = Verdict::kRan,
+              .m_reason = "the request ran; its response was not kept"};
+    case ClaimOutcome::kInProgress:
+      return {.m_status = 409,
+              .m_verdict = Verdict::kMayHaveRun,
+              .m_reason = "the request is in progress",
+              .m_retry_after = std::chrono::seconds(1)};
+    case ClaimOutcome::kConflict:
+      return {.m_status = 422,
+              .m_reason = "the Idempotency-Key was used for another request"};
+    case ClaimOutcome::kStoreFull:
+      return {.m_reason = "the store of claims is full",
+              .m_retry_after = std::chrono::seconds(1)};
+    case ClaimOutcome::kBadKey:
+      return {.m_status = 400,
+              .m_reason = "the Idempotency-Key was issued in the future"};
+    case ClaimOutcome::kStaleHost:
+      return {.m_verdict = unclaimed,
+              .m_reason = "this entry host is not registered"};
+    default:
+      return {.m_status = 409,
+              .m_verdict = Verdict::kMayHaveRun,
+              .m_reason = "the outcome of an earlier attempt is not known"};
+  }
+}
+
+asio::awaitable<void> Replay(net::HttpExchange& exchange,
+                             const StoredAnswer& answer) {
+  ResponseHead head{.m_status = answer.m_status,
+                    .m_headers = answer.m_headers};
+  head.m_headers.push_back({"Jujube-Replayed", "yes"});
+  co_await exchange.Respond(std::move(head), answer.m_body);
+}
+
+}  // namespace
+
+// ---- Request state ---------------------------------------------------------
+
+struct Forwarder::Request {
+  Route m_route;
+  Service m_service;                        // policy, as of admission
+  Weights m_weights;                        // of the deployment
+  RegionId m_region;                        // of this host
+  std::shared_ptr<steering::RetryBudget> m_budget;
+  request::Deadline m_deadline;
+  MonoTime m_received;
+  bool m_is_repeatable = true;
+  bool m_is_claimed = false;
+  std::uint64_t m_attempt_number = 0;       // of the claim
+  OutgoingRequest m_outgoing;
+  std::vector<InstanceId> m_tried;
+  std::uint32_t m_attempts = 0;
+  Verdict m_verdict = Verdict::kNotRun;     // of all attempts
+  limits::Permit m_region_permit;
+
+  // Verdict of a refusal before the store of claims was asked. An earlier
+  // attempt with the same key may have run through another entry host; only a
+  // caller that sends the first one can be told "not run".
+  Verdict UnclaimedVerdict() const {
+    const bool is_known = m_is_repeatable || m_is_claimed ||
+                          m_route.m_is_first_attempt;
+    return is_known ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  }
+};
+
+Forwarder::Forwarder(EntryShared& shared,
+                     ClaimClient& claims,
+                     const asio::any_io_executor& executor,
+                     std::uint64_t seed)
+    : m_shared(shared),
+      m_claims(claims),
+      m_pool(executor, shared.m_settings.m_pool_per_instance),
+      m_selector(seed) {}
+
+asio::awaitable<void> Forwarder::Handle(net::HttpExchange& exchange) {
+  Result<Route> route = ParseRoute(exchange.Head());
+  if (!route) {
+    co_await Refuse(exchange,
+                    {.m_status = StatusOf(route.error().m_code),
+                     .m_reason = route.error().m_message});
+    co_return;
+  }
+  Request request;
+  request.m_route = std::move(route).value();
+  request.m_received = MonoClock::now();
+  const std::optional<Refusal> refusal = Admit(exchange, request);
+  if (refusal) {
+    request.m_verdict = refusal->m_verdict;
+    Count(request);
+    co_await Refuse(exchange, *refusal);
+    co_return;
+  }
+  m_shared.m_in_progress.fetch_add(1, std::memory_order_relaxed);
+  m_shared.m_in_progress_gauge.Add(1);
+  try {
+    const std::optional<Refusal> bad_body = co_await ReadBody(exchange, request);
+    if (bad_body)
+      co_await Refuse(exchange, *bad_body);
+    else if (request.m_is_repeatable || co_await Claim(exchange, request))
+      co_await Carry(exchange, request);
+  } catch (const std::exception&) {
+    // Out of memory: the connection is closed without a response.
+    request.m_verdict = Verdict::kMayHaveRun;
+    Finish(request, std::nullopt);
+  }
+  Count(request);
+  m_shared.m_in_progress_gauge.Add(-1);
+  m_shared.m_in_progress.fetch_sub(1, std::memory_order_relaxed);
+}
+
+void Forwarder::Count(const Request& request) {
+  switch (request.m_verdict) {
+    case Verdict::kNotRun:
+      m_shared.m_not_run.Add();
+      break;
+    case Verdict::kRan:
+      m_shared.m_ran.Add();
+      break;
+    case Verdict::kMayHaveRun:
+      m_shared.m_may_have_run.Add();
+      break;
+  }
+}
+
+// ---- Admission -------------------------------------------------------------
+
+std::optional<Refusal> Forwarder::Admit(net::HttpExchange& exchange,
+                                        Request& request) {
+  const rcu::ReadSection section;
+  const ServingView& view = m_shared.m_view.Read(section);
+  const steering::ServiceUpstreams* service =
+      steering::FindService(*view.m_upstreams, request.m_route.m_service);
+  if (service == nullptr) {
+    return Refusal{.m_status = 404,
+                   .m_reason = "there is no service " +
+                               request.m_route.m_service.m_value};
+  }
+  request.m_service = service->m_service;
+  request.m_budget = service->m_budget;
+  request.m_weights = view.m_upstreams->m_weights;
+  request.m_region = view.m_region;
+  request.m_is_repeatable =
+      steering::IsRepeatable(request.m_service, exchange.Head().m_method);
+  request.m_deadline = request::StartDeadline(
+      request.m_received, request.m_route.m_stated_deadline,
+      request.m_service.m_default_deadline);
+  const std::optional<Refusal> bad_key = CheckKey(request);
+  if (bad_key)
+    return bad_key;
+  const steering::AdmissionAnswer answer = steering::DecideAdmission(
+      {.m_is_host_draining = view.m_is_refusing,
+       .m_priority = request.m_service.m_priority,
+       .m_slots = steering::CountSlots(*service, request.m_received),
+       .m_host_in_progress =
+           m_shared.m_in_progress.load(std::memory_order_relaxed),
+       .m_host_cap = view.m_host_cap,
+       .m_remaining =
+           request::Remaining(request.m_deadline, request.m_received)});
+  if (answer == steering::AdmissionAnswer::kAdmitted)
+    return std::nullopt;
+  return Refusal{.m_status = 503,
+                 .m_verdict = request.UnclaimedVerdict(),
+                 .m_reason = std::string(steering::ToString(answer)),
+                 .m_retry_after = steering::RetryAfter(answer)};
+}
+
+std::optional<Refusal> Forwarder::CheckKey(const Request& request) {
+  if (request.m_is_repeatable)
+    return std::nullopt;
+  // A request without a valid key is never carried, so it cannot have run.
+  const Result<request::IdempotencyKey> key =
+      request::ParseIdempotencyKey(request.m_route.m_key);
+  if (key)
+    return std::nullopt;
+  return Refusal{.m_status = 400,
+                 .m_reason = "Idempotency-Key: " + key.error().m_message};
+}
+
+// ---- Body and claim --------------------------------------------------------
+
+asio::awaitable<std::optional<Refusal>> Forwarder::ReadBody(
+    net::HttpExchange& exchange,
+    Request& request) {
+  const RequestHead& head = exchange.Head();
+  OutgoingRequest& outgoing = request.m_outgoing;
+  if (!head.m_has_body)
+    co_return std::nullopt;
+  const std::uint64_t stated = head.m_content_length.value_or(UINT64_MAX);
+  const bool is_buffered =
+      !request.m_is_repeatable || stated <= kMaxBufferedBody;
+  if (!is_buffered) {
+    outgoing.m_streams_rest = true;
+    co_return std::nullopt;
+  }
+  Result<std::string> body =
+      co_await exchange.ReadAll(request.m_service.m_max_body_bytes);
+  if (!body) {
+    request.m_verdict = request.UnclaimedVerdict();
+    co_return Refusal{.m_status = 413,
+                      .m_verdict = request.m_verdict,
+                      .m_reason = body.error().m_message};
+  }
+  outgoing.m_body = std::move(body).value();
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool> Forwarder::Claim(net::HttpExchange& exchange,
+                                       Request& request) {
+  const RequestHead& head = exchange.Head();
+  request.m_attempt_number =
+      m_shared.m_next_attempt.fetch_add(1, std::memory_order_relaxed);
+  const ClaimRequest claim{
+      .m_host = m_shared.m_settings.m_host,
+      .m_incarnation = m_shared.m_incarnation,
+      .m_service = request.m_route.m_service,
+      .m_key = request.m_route.m_key,
+      .m_attempt = request.m_attempt_number,
+      .m_digest = Sha256(head.m_method + "\n" + request.m_route.m_target +
+                         "\n" + request.m_outgoing.m_body)};
+  const std::optional<ClaimReply> reply =
+      co_await m_claims.Claim(claim, request.m_deadline.m_at);
+  if (reply && reply->m_outcome == ClaimOutcome::kGranted) {
+    request.m_is_claimed = true;
+    co_return true;
+  }
+  if (reply && reply->m_outcome == ClaimOutcome::kFinished && reply->m_answer) {
+    request.m_verdict = Verdict::kRan;
+    co_await Replay(exchange, *reply->m_answer);
+    co_return false;
+  }
+  const Refusal refusal =
+      RefusalOfClaim(reply ? std::optional(reply->m_outcome) : std::nullopt,
+                     request.UnclaimedVerdict());
+  request.m_verdict = refusal.m_verdict;
+  co_await Refuse(exchange, refusal);
+  co_return false;
+}
+
+void Forwarder::Finish(Request& request, std::optional<StoredAnswer> answer) {
+  if (!request.m_is_claimed)
+    return;
+  m_claims.Finish({.m_host = m_shared.m_settings.m_host,
+                   .m_incarnation = m_shared.m_incarnation,
+                   .m_service = request.m_route.m_service,
+                   .m_key = request.m_route.m_key,
+                   .m_attempt = request.m_attempt_number,
+                   .m_verdict = request.m_verdict,
+                   .m_answer = std::move(answer)});
+}
+
+// ---- Attempts --------------------------------------------------------------
+
+asio::awaitable<void> Forwarder::Carry(net::HttpExchange& exchange,
+                                       Request& request) {
+  request.m_budget->OnRequest(request.m_service.m_retry_budget_permille);
+  while (true) {
+    std::optional<steering::Selection> selection = Select(request);
+    if (!selection) {
+      co_await RespondWithoutUpstream(exchange, request);
+      co_return;
+    }
+    ++request.m_attempts;
+    request.m_tried.push_back(selection->m_instance);
+    AttemptResult result = co_await Attempt(exchange, request, *selection);
+    request.m_region_permit.Reset();
+    request.m_verdict = request::Combine(request.m_verdict,
+                                         request::VerdictOf(result.m_attempt));
+    if (!result.m_failure) {
+      co_await RespondWithAnswer(exchange, request, std::move(result));
+      co_return;
+    }
+    if (!MayRetry(request, result)) {
+      co_await RespondToFailure(exchange, request, result);
+      co_return;
+    }
+  }
+}
+
+std::optional<steering::Selection> Forwarder::Select(Request& request) {
+  std::vector<RegionId> closed;
+  const rcu::ReadSection section;
+  const ServingView& view = m_shared.m_view.Read(section);
+  const steering::ServiceUpstreams* service =
+      steering::FindService(*view.m_upstreams, request.m_route.m_service);
+  while (service != nullptr) {
+    const MonoTime now = MonoClock::now();
+    std::optional<steering::Selection> selection =
+        m_selector.Select(*service, {.m_now = now,
+                                     .m_weights = request.m_weights,
+                                     .m_tried = request.m_tried,
+                                     .m_closed = closed});
+    if (!selection || view.m_limits == nullptr)
+      return selection;
+    request.m_region_permit = view.m_limits->TryAcquire(
+        limits::RegionLimit(selection->m_region), 1, now);
+    if (request.m_region_permit)
+      return selection;
+    closed.push_back(selection->m_region);
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<AttemptResult> Forwarder::Attempt(
+    net::HttpExchange& exchange,
+    Request& request,
+    steering::Selection& selection) {
+  const MonoTime started = MonoClock::now();
+  const milliseconds remaining =
+      request::RemainingFor(request.m_deadline, started, selection.m_delay)
+          .value_or(milliseconds(1));
+  request.m_outgoing.m_head =
+      UpstreamHead(exchange.Head(), request.m_route, remaining, "");
+  const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
+  AttemptRunner runner(exchange, m_pool, pacer, request.m_deadline.m_at);
+  AttemptResult result =
+      co_await runner.Run(selection.m_endpoint, selection.m_incarnation,
+                          request.m_outgoing, request.m_is_repeatable);
+  const MonoTime ended = MonoClock::now();
+  const std::optional<steering::Outcome> outcome = OutcomeOf(result);
+  if (outcome)
+    selection.m_slot.Counters()->Record(*outcome, ended - started, ended);
+  co_return result;
+}
+
+bool Forwarder::MayRetry(Request& request, const AttemptResult& result) {
+  const request::FailureDecision decision = request::Decide(
+      result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
+  // The streamed part of a body is gone.
+  const bool is_body_lost =
+      request.m_outgoing.m_streams_rest &&
+      result.m_attempt.m_state != request::AttemptState::kWaiting;
+  if (!decision.m_may_retry || is_body_lost)
+    return false;
+  const steering::RetryAnswer answer = steering::DecideRetry(
+      {.m_verdict = request.m_verdict,
+       .m_is_repeatable = request.m_is_repeatable,
+       .m_attempts = request.m_attempts,
+       .m_remaining =
+           request::Remaining(request.m_deadline, MonoClock::now())},
+      request.m_service.m_retry_budget_permille, *request.m_budget);
+  return answer == steering::RetryAnswer::kRetry;
+}
+
+// ---- Responses -------------------------------------------------------------
+
+asio::awaitable<void> Forwarder::RespondWithAnswer(net::HttpExchange& exchange,
+                                                   Request& request,
+                                                   AttemptResult result) {
+  // A streamed response is too large to be kept for resent requests.
+  Finish(request, result.m_answer);
+  if (!result.m_answer)
+    co_return;
+  ResponseHead head{.m_status = result.m_answer->m_status,
+                    .m_headers = std::move(result.m_answer->m_headers)};
+  co_await exchange.Respond(std::move(head), result.m_answer->m_body);
+}
+
+asio::awaitable<void> Forwarder::RespondWithoutUpstream(
+    net::HttpExchange& exchange,
+    Request& request) {
+  Finish(request, std::nullopt);
+  const Refusal refusal{.m_status = 503,
+                        .m_verdict = request.m_verdict,
+                        .m_reason = "no instance has a free slot",
+                        .m_retry_after = std::chrono::seconds(1)};
+  co_await Refuse(exchange, refusal);
+}
+
+asio::awaitable<void> Forwarder::RespondToFailure(
+    net::HttpExchange& exchange,
+    Request& request,
+    const AttemptResult& result) {
+  Finish(request, std::nullopt);
+  const request::FailureDecision decision = request::Decide(
+      result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
+  // Returning without the end of a response closes the connection.
+  if (decision.m_answer == request::CallerAnswer::kAbort ||
+      decision.m_answer == request::CallerAnswer::kNothing)
+    co_return;
+  const Refusal refusal{.m_status = StatusOf(decision.m_answer),
+                        .m_verdict = request.m_verdict,
+                        .m_reason = result.m_error};
+  co_await Refuse(exchange, refusal);
+}
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/forwarder.h
@@ -0,0 +1,77 @@
+// Forwarder: carries a request from admission to the end of its response.
+//
+//   route -> admission -> claim -> select -> attempt -> respond -> finish claim
+//
+// One for each worker thread. The steps that decide are functions of
+// steering/ and request/; this class connects them to the exchange.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "entry/attempt_runner.h"
+#include "entry/connection_pool.h"
+#include "entry/entry_shared.h"
+#include "entry/refusal.h"
+#include "entry/route.h"
+#include "gen/claims.h"
+#include "request/deadline.h"
+#include "steering/headroom_latency_policy.h"
+#include "steering/selector.h"
+
+namespace jujube::entry {
+
+class ClaimClient;
+
+class Forwarder {
+ public:
+  Forwarder(EntryShared& shared,
+            ClaimClient& claims,
+            const boost::asio::any_io_executor& executor,
+            std::uint64_t seed);
+
+  boost::asio::awaitable<void> Handle(net::HttpExchange& exchange);
+
+  ConnectionPool& Pool() { return m_pool; }
+
+ private:
+  struct Request;
+
+  std::optional<Refusal> Admit(net::HttpExchange& exchange, Request& request);
+  static std::optional<Refusal> CheckKey(const Request& request);
+  boost::asio::awaitable<std::optional<Refusal>> ReadBody(
+      net::HttpExchange& exchange,
+      Request& request);
+  boost::asio::awaitable<bool> Claim(net::HttpExchange& exchange,
+                                     Request& request);
+  boost::asio::awaitable<void> Carry(net::HttpExchange& exchange,
+                                     Request& request);
+  boost::asio::awaitable<AttemptResult> Attempt(net::HttpExchange& exchange,
+                                                Request& request,
+                                                steering::Selection& selection);
+  std::optional<steering::Selection> Select(Request& request);
+  bool MayRetry(Request& request, const AttemptResult& result);
+  boost::asio::awaitable<void> RespondWithAnswer(net::HttpExchange& exchange,
+                                                 Request& request,
+                                                 AttemptResult result);
+  boost::asio::awaitable<void> RespondWithoutUpstream(
+      net::HttpExchange& exchange,
+      Request& request);
+  boost::asio::awaitable<void> RespondToFailure(net::HttpExchange& exchange,
+                                                Request& request,
+                                                const AttemptResult& result);
+  void Finish(Request& request, std::optional<StoredAnswer> answer);
+  void Count(const Request& request);
+
+  EntryShared& m_shared;
+  ClaimClient& m_claims;
+  ConnectionPool m_pool;
+  steering::Selector<steering::HeadroomLatencyPolicy> m_selector;
+};
+
+}  // namespace jujube::entry
--- a/src/gen/http.h
+++ b/src/gen/http.h
@@ -18,6 +18,14 @@
 
 namespace jujube {
 
+// Body of a response that the system gives in place of an upstream.
+struct RefusalBody {
+  std::string m_error;                   // what is wrong
+  Verdict m_verdict = Verdict::kNotRun;  // whether the request may have run
+
+  friend auto operator<=>(const RefusalBody&, const RefusalBody&) = default;
+};
+
 // Head of a request.
 struct RequestHead {
   std::string m_method;           // method, such as GET
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -64,6 +64,10 @@
 struct RegistryDelta {
   HostId m_host;                    // sender
   std::uint64_t m_incarnation = 0;  // incarnation of the sender
+  bool m_leaving =
+      false;  // the sender is in a planned stop; look-ups leave it out
+  std::vector<HostId> m_omitted;  // entry hosts that the sender leaves out of
+                                  // look-ups (at most 2048 elements)
   std::vector<RegistryEntry>
       m_entries;  // announcements with their ages (at most 4096 elements)
 
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -27,7 +27,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, RegistryDelta& value) {
-  archive(value.m_host, value.m_incarnation,
+  archive(value.m_host, value.m_incarnation, value.m_leaving,
+          wire::Bounded(value.m_omitted, 2048),
           wire::Bounded(value.m_entries, 4096));
 }
 
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -56,6 +56,10 @@
 
 HttpConnection::~HttpConnection() = default;
 
+void HttpConnection::Close() {
+  m_state->m_stream.close();
+}
+
 void HttpConnection::SetDeadline(MonoTime deadline) {
   const auto left = deadline - MonoClock::now();
   m_state->m_stream.expires_after(std::max(left, MonoClock::duration::zero()));
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -4,8 +4,7 @@
 // bytes can have reached the other side:
 //   Connect fails      no byte
 //   SendHead fails     any part of the request
-// The connection belongs to one thread. Destroying it closes the socket, which
-// is also how a request is cancelled.
+// The connection belongs to one thread. Destroying it closes the socket.
 
 #pragma once
 
@@ -33,6 +32,9 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
+  // Closes the connection; a step in progress fails. This cancels a request.
+  void Close();
+
   // Deadline of every later step; a step past it fails with kTimeout.
   void SetDeadline(MonoTime deadline);
 
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -51,9 +52,10 @@
   asio::awaitable<Status> End();
   bool Started() const;  // a response was begun
 
-  // Returns when the caller has closed the connection. Only after the body
-  // was read.
-  asio::awaitable<void> WaitForDisconnect();
+  // Calls back once when the caller closes its connection, until Unwatch. Only
+  // after the body was read, and with no other operation on the exchange.
+  void Watch(std::function<void()> on_disconnect);
+  void Unwatch();
 
  private:
   HttpExchangeState& m_state;
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -62,6 +62,7 @@
   std::string m_remote;
   std::chrono::milliseconds m_body_timeout{0};
   const std::atomic<bool>* m_announce_close = nullptr;
+  std::shared_ptr<bool> m_watching;  // false once the watch has ended
   bool m_started = false;
   bool m_finished = false;
   bool m_keep_alive = true;
@@ -244,18 +245,34 @@
   co_return status;
 }
 
-asio::awaitable<void> HttpExchange::WaitForDisconnect() {
+void HttpExchange::Watch(std::function<void()> on_disconnect) {
+  auto watching = std::make_shared<bool>(true);
+  m_state.m_watching = watching;
   tcp::socket& socket = m_state.m_stream.socket();
-  auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kTuple);
-  char byte = 0;
-  const bool data_waits = !error && ::recv(socket.native_handle(), &byte, 1,
-                                           MSG_PEEK | MSG_DONTWAIT) > 0;
-  if (!data_waits)
-    co_return;
-  // The next request has arrived early, so the caller is still there.
-  asio::steady_timer timer(co_await asio::this_coro::executor,
-                           asio::steady_timer::time_point::max());
-  co_await timer.async_wait(kTuple);
+  socket.async_wait(tcp::socket::wait_read,
+                    [watching, &socket, callback = std::move(on_disconnect)](
+                        const beast::error_code& error) {
+                      if (!*watching)
+                        return;
+                      char byte = 0;
+                      const ssize_t count =
+                          error ? -1
+                                : ::recv(socket.native_handle(), &byte, 1,
+                                         MSG_PEEK | MSG_DONTWAIT);
+                      // Data is the next request, sent early: the caller is
+                      // still there.
+                      if (count <= 0)
+                        callback();
+                    });
+}
+
+void HttpExchange::Unwatch() {
+  if (m_state.m_watching == nullptr)
+    return;
+  *m_state.m_watching = false;
+  m_state.m_watching.reset();
+  beast::error_code error;
+  m_state.m_stream.socket().cancel(error);
 }
 
 struct HttpListener::State : std::enable_shared_from_this<State> {
