Add the registry of upstreams and the verdict of a request

Cause: entry hosts learn upstreams from announcements only, and every failure has to leave a true verdict.

Change: src/membership merges announcements by (incarnation, sequence) with leases on MonoTime, remembers absent instances and pages deltas. src/request holds the state machine of an attempt, the decision for each failure, deadlines, Idempotency-Key, traceparent and the drain of an entry host. Schema files for the log events and metrics of steering.

--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -15,6 +15,44 @@
     case LogEvent::kFrameRefused:
       return {110, LogLevel::kWarning, "FrameRefused",
               "frame from a peer refused"};
+    case LogEvent::kInstanceAppeared:
+      return {400, LogLevel::kInfo, "InstanceAppeared",
+              "upstream instance appeared"};
+    case LogEvent::kInstanceExpired:
+      return {401, LogLevel::kWarning, "InstanceExpired",
+              "lease of an upstream instance expired"};
+    case LogEvent::kInstanceLeaving:
+      return {402, LogLevel::kInfo, "InstanceLeaving",
+              "upstream instance is leaving"};
+    case LogEvent::kAnnouncementRefused:
+      return {403, LogLevel::kWarning, "AnnouncementRefused",
+              "announcement refused"};
+    case LogEvent::kInstanceEjected:
+      return {410, LogLevel::kWarning, "InstanceEjected",
+              "upstream instance ejected"};
+    case LogEvent::kInstanceRestored:
+      return {411, LogLevel::kInfo, "InstanceRestored",
+              "ejected upstream instance is tried again"};
+    case LogEvent::kEjectionBounded:
+      return {412, LogLevel::kWarning, "EjectionBounded",
+              "failing instance kept in use"};
+    case LogEvent::kRequestsRefused:
+      return {420, LogLevel::kWarning, "RequestsRefused",
+              "requests refused for lack of capacity"};
+    case LogEvent::kRetryBudgetSpent:
+      return {421, LogLevel::kWarning, "RetryBudgetSpent",
+              "retry budget spent"};
+    case LogEvent::kShiftStep:
+      return {430, LogLevel::kInfo, "ShiftStep",
+              "callers shifted between regions"};
+    case LogEvent::kShiftHeld:
+      return {431, LogLevel::kWarning, "ShiftHeld", "shift held"};
+    case LogEvent::kHostDrainStep:
+      return {440, LogLevel::kInfo, "HostDrainStep",
+              "drain of this entry host advanced"};
+    case LogEvent::kHostDrainCutShort:
+      return {441, LogLevel::kWarning, "HostDrainCutShort",
+              "drain ended with requests in progress"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -13,10 +13,23 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 enum class LogEvent : std::uint16_t {
-  kStarted = 100,          // process started
-  kStopped = 101,          // process stopped
-  kSettingsRefused = 102,  // settings refused
-  kFrameRefused = 110,     // frame from a peer refused
+  kStarted = 100,              // process started
+  kStopped = 101,              // process stopped
+  kSettingsRefused = 102,      // settings refused
+  kFrameRefused = 110,         // frame from a peer refused
+  kInstanceAppeared = 400,     // upstream instance appeared
+  kInstanceExpired = 401,      // lease of an upstream instance expired
+  kInstanceLeaving = 402,      // upstream instance is leaving
+  kAnnouncementRefused = 403,  // announcement refused
+  kInstanceEjected = 410,      // upstream instance ejected
+  kInstanceRestored = 411,     // ejected upstream instance is tried again
+  kEjectionBounded = 412,      // failing instance kept in use
+  kRequestsRefused = 420,      // requests refused for lack of capacity
+  kRetryBudgetSpent = 421,     // retry budget spent
+  kShiftStep = 430,            // callers shifted between regions
+  kShiftHeld = 431,            // shift held
+  kHostDrainStep = 440,        // drain of this entry host advanced
+  kHostDrainCutShort = 441,    // drain ended with requests in progress
 };
 
 struct LogEventInfo {
--- a/src/gen/metrics.h
+++ b/src/gen/metrics.h
@@ -15,11 +15,20 @@
 enum class MetricKind : std::uint8_t { kCounter, kGauge, kHistogram };
 
 enum class Metric : std::uint16_t {
-  kConfigIndex,     // feed index in force
-  kLookups,         // look-ups answered
-  kRequestSeconds,  // time from the request head to the end of the answer
-  kInProgress,      // requests in progress
-  kRequests,        // requests by verdict
+  kAnnouncements,     // announcements by outcome of the merge
+  kConfigIndex,       // feed index in force
+  kLookups,           // look-ups answered
+  kRequestSeconds,    // time from the request head to the end of the answer
+  kInProgress,        // requests in progress
+  kRefused,           // requests refused before an upstream was tried
+  kRequests,          // requests by verdict
+  kRetriesDenied,     // retries that were not made
+  kRetries,           // attempts after the first one
+  kShiftedPermille,   // callers of a region that are steered to another one
+  kSlotsInUse,        // slots that this host uses
+  kSlotsUsable,       // slots that this host may use
+  kUpstreams,         // instances that may take requests
+  kUpstreamsEjected,  // instances ejected for failures
 };
 
 struct MetricInfo {
@@ -29,7 +38,9 @@
   std::string_view m_help;
 };
 
-inline constexpr std::array<MetricInfo, 5> kMetrics = {{
+inline constexpr std::array<MetricInfo, 14> kMetrics = {{
+    {MetricKind::kCounter, "jujube_announcements_total", "outcome",
+     "announcements by outcome of the merge [announcements]"},
     {MetricKind::kGauge, "jujube_config_index", "",
      "feed index in force [index]"},
     {MetricKind::kCounter, "jujube_lookups_total", "",
@@ -38,8 +49,24 @@
      "time from the request head to the end of the answer [s]"},
     {MetricKind::kGauge, "jujube_requests_in_progress", "",
      "requests in progress [requests]"},
+    {MetricKind::kCounter, "jujube_requests_refused_total", "reason",
+     "requests refused before an upstream was tried [requests]"},
     {MetricKind::kCounter, "jujube_requests_total", "verdict",
      "requests by verdict [requests]"},
+    {MetricKind::kCounter, "jujube_retries_denied_total", "reason",
+     "retries that were not made [attempts]"},
+    {MetricKind::kCounter, "jujube_retries_total", "service",
+     "attempts after the first one [attempts]"},
+    {MetricKind::kGauge, "jujube_shifted_permille", "source",
+     "callers of a region that are steered to another one [permille]"},
+    {MetricKind::kGauge, "jujube_slots_in_use", "service",
+     "slots that this host uses [slots]"},
+    {MetricKind::kGauge, "jujube_slots_usable", "service",
+     "slots that this host may use [slots]"},
+    {MetricKind::kGauge, "jujube_upstreams", "service",
+     "instances that may take requests [instances]"},
+    {MetricKind::kGauge, "jujube_upstreams_ejected", "service",
+     "instances ejected for failures [instances]"},
 }};
 
 }  // namespace jujube
--- /dev/null
+++ b/src/membership/instance_key.h
@@ -0,0 +1,18 @@
+// InstanceKey: an upstream instance across all services.
+
+#pragma once
+
+#include <compare>
+
+#include "gen/types.h"
+
+namespace jujube::membership {
+
+struct InstanceKey {
+  ServiceId m_service;    // service of the instance
+  InstanceId m_instance;  // unique within the service
+
+  friend auto operator<=>(const InstanceKey&, const InstanceKey&) = default;
+};
+
+}  // namespace jujube::membership
--- /dev/null
+++ b/src/membership/registry_limits.h
@@ -0,0 +1,27 @@
+// RegistryLimits: lease and memory bounds of a registry.
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+
+namespace jujube::membership {
+
+struct RegistryLimits {
+  // Four announcements at the interval of 500 ms: three lost ones in a row do
+  // not remove an instance.
+  std::chrono::milliseconds m_lease{2000};
+
+  // Time for which an absent instance's (incarnation, sequence) is remembered,
+  // so that a message delayed in a frozen peer cannot bring it back.
+  std::chrono::milliseconds m_memory{600000};
+
+  // Instances, absent ones included; about 1 KB each.
+  std::size_t m_max_instances = 16384;
+
+  friend auto operator<=>(const RegistryLimits&,
+                          const RegistryLimits&) = default;
+};
+
+}  // namespace jujube::membership
--- /dev/null
+++ b/src/request/attempt.cc
@@ -0,0 +1,69 @@
+#include "request/attempt.h"
+
+namespace jujube::request {
+namespace {
+
+constexpr unsigned kFirstErrorStatus = 400;
+constexpr unsigned kLastErrorStatus = 599;
+
+AttemptState NextState(const Attempt& attempt, AttemptEvent event) {
+  const AttemptState state = attempt.m_state;
+  // An upstream may answer before the whole request was written.
+  const bool is_out =
+      state == AttemptState::kSending || state == AttemptState::kSent;
+  switch (event) {
+    case AttemptEvent::kSendStarted:
+      return state == AttemptState::kWaiting ? AttemptState::kSending : state;
+    case AttemptEvent::kNothingWritten:
+      return state == AttemptState::kSending && !attempt.m_is_reused_connection
+                 ? AttemptState::kWaiting
+                 : state;
+    case AttemptEvent::kSent:
+      return state == AttemptState::kSending ? AttemptState::kSent : state;
+    case AttemptEvent::kHead:
+      return is_out ? AttemptState::kAnswering : state;
+    case AttemptEvent::kHeadNotStarted:
+      return is_out ? AttemptState::kNotStarted : state;
+    case AttemptEvent::kAnswerEnd:
+      return state == AttemptState::kAnswering ? AttemptState::kAnswered
+                                               : state;
+  }
+  return state;
+}
+
+}  // namespace
+
+Attempt Next(const Attempt& attempt, AttemptEvent event) {
+  return {.m_state = NextState(attempt, event),
+          .m_is_reused_connection = attempt.m_is_reused_connection};
+}
+
+Verdict VerdictOf(const Attempt& attempt) {
+  switch (attempt.m_state) {
+    case AttemptState::kWaiting:
+    case AttemptState::kNotStarted:
+      return Verdict::kNotRun;
+    case AttemptState::kAnswered:
+      return Verdict::kRan;
+    case AttemptState::kSending:
+    case AttemptState::kSent:
+    case AttemptState::kAnswering:
+      break;
+  }
+  return Verdict::kMayHaveRun;
+}
+
+Verdict Combine(Verdict earlier, Verdict later) {
+  if (earlier == Verdict::kRan || later == Verdict::kRan)
+    return Verdict::kRan;
+  if (earlier == Verdict::kMayHaveRun || later == Verdict::kMayHaveRun)
+    return Verdict::kMayHaveRun;
+  return Verdict::kNotRun;
+}
+
+bool SaysNotStarted(unsigned status, std::string_view started) {
+  return started == "no" && status >= kFirstErrorStatus &&
+         status <= kLastErrorStatus;
+}
+
+}  // namespace jujube::request
--- /dev/null
+++ b/src/request/failure_decision.cc
@@ -0,0 +1,44 @@
+#include "request/failure_decision.h"
+
+namespace jujube::request {
+namespace {
+
+CallerAnswer AnswerFor(AttemptFailure failure, bool is_head_forwarded) {
+  if (failure == AttemptFailure::kCallerGone)
+    return CallerAnswer::kNothing;
+  if (is_head_forwarded)
+    return CallerAnswer::kAbort;
+  switch (failure) {
+    case AttemptFailure::kTimeout:
+      return CallerAnswer::kTimeout;
+    case AttemptFailure::kConnectFailed:
+    case AttemptFailure::kNotStarted:
+      return CallerAnswer::kUnavailable;
+    case AttemptFailure::kWriteFailed:
+    case AttemptFailure::kAnswerCut:
+    case AttemptFailure::kCallerGone:
+      break;
+  }
+  return CallerAnswer::kBadGateway;
+}
+
+}  // namespace
+
+FailureDecision Decide(const Attempt& attempt,
+                       AttemptFailure failure,
+                       bool is_head_forwarded) {
+  const bool is_refusal = failure == AttemptFailure::kNotStarted &&
+                          attempt.m_state == AttemptState::kNotStarted;
+  // After the deadline or without a caller there is nobody to retry for.
+  const bool is_over = failure == AttemptFailure::kTimeout ||
+                       failure == AttemptFailure::kCallerGone;
+  return {
+      .m_verdict = VerdictOf(attempt),
+      .m_connection = is_refusal ? ConnectionUse::kKeep : ConnectionUse::kClose,
+      .m_answer = AnswerFor(failure, is_head_forwarded),
+      .m_may_retry = !is_over && !is_head_forwarded,
+      .m_counts_as_failure = failure != AttemptFailure::kCallerGone &&
+                             failure != AttemptFailure::kNotStarted};
+}
+
+}  // namespace jujube::request
--- /dev/null
+++ b/src/request/host_drain.cc
@@ -0,0 +1,68 @@
+#include "request/host_drain.h"
+
+namespace jujube::request {
+namespace {
+
+HostDrain Step(const HostDrain& drain,
+               const DrainInputs& inputs,
+               const DrainLimits& limits) {
+  const auto elapsed = inputs.m_now - drain.m_phase_since;
+  const HostDrain next{
+      .m_phase = static_cast<DrainPhase>(static_cast<int>(drain.m_phase) + 1),
+      .m_phase_since = inputs.m_now};
+  switch (drain.m_phase) {
+    case DrainPhase::kLeavingLookups:
+      if (inputs.m_is_omitted_everywhere || elapsed >= limits.m_propagation)
+        return next;
+      break;
+    case DrainPhase::kWaitingForLifetimes:
+      if (elapsed >= limits.m_lookup_lifetime)
+        return next;
+      break;
+    case DrainPhase::kWaitingForRequests:
+      if (inputs.m_in_progress == 0)
+        return next;
+      if (elapsed >= limits.m_requests)
+        return {.m_phase = next.m_phase,
+                .m_phase_since = next.m_phase_since,
+                .m_is_cut_short = true};
+      break;
+    case DrainPhase::kDone:
+      break;
+  }
+  return drain;
+}
+
+}  // namespace
+
+std::string_view ToString(DrainPhase phase) {
+  switch (phase) {
+    case DrainPhase::kLeavingLookups:
+      return "leaving look-ups";
+    case DrainPhase::kWaitingForLifetimes:
+      return "waiting for look-up lifetimes";
+    case DrainPhase::kWaitingForRequests:
+      return "waiting for requests";
+    case DrainPhase::kDone:
+      return "done";
+  }
+  return "unknown";
+}
+
+HostDrain StartDrain(MonoTime now) {
+  return {.m_phase = DrainPhase::kLeavingLookups, .m_phase_since = now};
+}
+
+HostDrain Advance(const HostDrain& drain,
+                  const DrainInputs& inputs,
+                  const DrainLimits& limits) {
+  HostDrain current = drain;
+  while (true) {
+    const HostDrain next = Step(current, inputs, limits);
+    if (next == current)
+      return current;
+    current = next;
+  }
+}
+
+}  // namespace jujube::request
