Add upstream selection, ejection, retries, admission and shifts

Cause: an entry host decides for each request where it runs, and for the callers of each region where they are steered; caps have to hold while measurements lag, stop or lie.

Change: src/steering builds an immutable view for read-copy-update with shared counters, policies behind a concept, outlier ejection, a retry budget on atomics, admission by priority, and shifts as a pure function in whole numbers.

--- /dev/null
+++ b/src/steering/ejection_change.h
@@ -0,0 +1,27 @@
+// EjectionChange: a step of outlier ejection, for the log.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "core/clock.h"
+#include "gen/types.h"
+
+namespace jujube::steering {
+
+struct EjectionChange {
+  enum class Kind : std::uint8_t {
+    kEjected,
+    kBounded,  // failing, but the bound on ejections is reached
+  };
+
+  InstanceId m_instance;
+  Kind m_kind = Kind::kEjected;
+  MonoTime m_until;  // end of the backoff, if ejected
+
+  friend auto operator<=>(const EjectionChange&,
+                          const EjectionChange&) = default;
+};
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/src/steering/instance_counters.cc
@@ -0,0 +1,75 @@
+#include "steering/instance_counters.h"
+
+#include <cassert>
+
+namespace jujube::steering {
+namespace {
+
+constexpr std::int64_t kWhole = 1000;  // permille
+
+}  // namespace
+
+bool InstanceCounters::TryAcquire(std::uint32_t limit) {
+  std::uint32_t used = m_in_progress.load(std::memory_order_relaxed);
+  while (used < limit) {
+    if (m_in_progress.compare_exchange_weak(used, used + 1,
+                                            std::memory_order_acq_rel))
+      return true;
+  }
+  return false;
+}
+
+void InstanceCounters::Release() {
+  [[maybe_unused]] const std::uint32_t before =
+      m_in_progress.fetch_sub(1, std::memory_order_acq_rel);
+  assert(before > 0 && "Release without TryAcquire");
+}
+
+void InstanceCounters::Record(Outcome outcome,
+                              std::chrono::nanoseconds latency,
+                              MonoTime now) {
+  if (outcome == Outcome::kSuccess) {
+    m_latency_ns.Add(latency.count());
+    m_failures_in_row.store(0, std::memory_order_relaxed);
+  }
+  if (outcome == Outcome::kFailure)
+    m_failures_in_row.fetch_add(1, std::memory_order_relaxed);
+  m_failure_permille.Add(outcome == Outcome::kFailure ? kWhole : 0);
+  m_shed_permille.Add(outcome == Outcome::kShed ? kWhole : 0);
+  m_outcomes.fetch_add(1, std::memory_order_relaxed);
+  m_last_outcome.store(now, std::memory_order_relaxed);
+}
+
+Observation InstanceCounters::Observe() const {
+  Observation seen{
+      .m_in_progress = m_in_progress.load(std::memory_order_relaxed),
+      .m_failure_permille =
+          static_cast<std::uint32_t>(m_failure_permille.Value().value_or(0)),
+      .m_shed_permille =
+          static_cast<std::uint32_t>(m_shed_permille.Value().value_or(0)),
+      .m_failures_in_row = m_failures_in_row.load(std::memory_order_relaxed),
+      .m_outcomes = m_outcomes.load(std::memory_order_relaxed),
+      .m_last_outcome = m_last_outcome.load(std::memory_order_relaxed),
+      .m_ejected_until = m_ejected_until.load(std::memory_order_acquire),
+      .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed)};
+  if (const auto latency = m_latency_ns.Value())
+    seen.m_latency = std::chrono::nanoseconds(*latency);
+  return seen;
+}
+
+void InstanceCounters::Eject(MonoTime until) {
+  m_ejection_count.fetch_add(1, std::memory_order_relaxed);
+  m_failures_in_row.store(0, std::memory_order_relaxed);
+  m_outcomes.store(0, std::memory_order_relaxed);
+  m_latency_ns.Reset();
+  m_failure_permille.Reset();
+  m_shed_permille.Reset();
+  m_ejected_until.store(until, std::memory_order_release);
+}
+
+void InstanceCounters::ForgetEjection() {
+  if (m_ejection_count.load(std::memory_order_relaxed) > 0)
+    m_ejection_count.fetch_sub(1, std::memory_order_relaxed);
+}
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/src/steering/selector.h
@@ -0,0 +1,70 @@
+// Selector: chooses an upstream with a policy and takes a slot of it.
+//
+//   Selector<HeadroomLatencyPolicy> selector(seed);  // one a worker thread
+//   std::optional<Selection> selection;
+//   {
+//     const rcu::ReadSection section;
+//     ...
+//     selection = selector.Select(*service, {.m_now = clock.Now(),
+//                                            .m_weights = view.m_weights,
+//                                            .m_tried = tried});
+//   }
+//   if (!selection) ...refuse: no usable slot, not run
+//   ...send the request to selection->m_endpoint...
+//   selection->m_slot.Counters()->Record(outcome, latency, clock.Now());
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "steering/candidate_collector.h"
+#include "steering/selection.h"
+#include "steering/selection_policy.h"
+
+namespace jujube::steering {
+
+template <SelectionPolicy P>
+class Selector {
+ public:
+  explicit Selector(std::uint64_t seed, P policy = {})
+      : m_policy(std::move(policy)), m_random(seed) {}
+
+  // Nothing if no instance has a slot left for this host. Instances in
+  // `context.m_tried` are never chosen.
+  std::optional<Selection> Select(const ServiceUpstreams& service,
+                                  const SelectionContext& context) {
+    CollectCandidates(service, context, m_candidates);
+    while (!m_candidates.empty()) {
+      const std::size_t position =
+          m_policy.Pick(m_candidates, context.m_weights, m_random);
+      const Candidate candidate = m_candidates[position];
+      const Upstream& upstream = service.m_upstreams[candidate.m_index];
+      if (upstream.m_counters->TryAcquire(candidate.m_limit))
+        return MakeSelection(upstream);
+      // Another thread took the last slot since the candidates were collected.
+      m_candidates.erase(m_candidates.begin() +
+                         static_cast<std::ptrdiff_t>(position));
+    }
+    return std::nullopt;
+  }
+
+ private:
+  static Selection MakeSelection(const Upstream& upstream) {
+    const Announcement& announcement = upstream.m_member.m_announcement;
+    return {.m_instance = announcement.m_instance,
+            .m_incarnation = announcement.m_incarnation,
+            .m_endpoint = announcement.m_endpoint,
+            .m_region = upstream.m_region,
+            .m_delay = upstream.m_delay,
+            .m_slot = SlotHold(upstream.m_counters)};
+  }
+
+  P m_policy;
+  FastRandom m_random;
+  std::vector<Candidate> m_candidates;  // kept to reuse its memory
+};
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/src/steering/shift_inputs.h
@@ -0,0 +1,32 @@
+// ShiftInputs: everything besides the plan that a shift depends on.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "core/clock.h"
+#include "gen/types.h"
+#include "steering/region_measurement.h"
+
+namespace jujube::steering {
+
+// Requests in progress that the callers of a region cause, wherever they run.
+struct SourceDemand {
+  RegionId m_source;
+  std::uint32_t m_in_progress = 0;
+
+  friend auto operator<=>(const SourceDemand&, const SourceDemand&) = default;
+};
+
+struct ShiftInputs {
+  UnixMillis m_now{0};  // time of the inputs, the same on every host
+  std::vector<RegionMeasurement> m_regions;
+  std::vector<SourceDemand> m_demand;
+  std::vector<RegionId> m_out;  // drained, or without any serving instance
+
+  friend auto operator<=>(const ShiftInputs&, const ShiftInputs&) = default;
+};
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/src/steering/upstream.h
@@ -0,0 +1,39 @@
+// Upstream: one instance as this entry host sees it.
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <memory>
+
+#include "membership/member.h"
+#include "steering/instance_counters.h"
+#include "steering/slot_grant.h"
+
+namespace jujube::steering {
+
+// Distance of an instance from this host.
+enum class Tier : std::uint8_t { kZone, kRegion, kRemote };
+
+struct Upstream {
+  membership::Member m_member;        // announcement and its times
+  RegionId m_region;                  // of its availability zone
+  Tier m_tier = Tier::kRemote;        // distance
+  std::chrono::milliseconds m_delay;  // one way
+  SlotGrant m_grant;                  // slots that this host may use
+  bool m_is_draining = false;         // itself, its zone or its region
+  std::shared_ptr<InstanceCounters> m_counters;  // never null
+
+  friend auto operator<=>(const Upstream&, const Upstream&) = default;
+};
+
+// Whether it may get new work at all. Ejection and slots are looked at
+// separately.
+inline bool MayServe(const Upstream& upstream, MonoTime now) {
+  return !upstream.m_is_draining &&
+         upstream.m_member.m_announcement.m_state == UpstreamState::kServing &&
+         now < upstream.m_member.m_expires;
+}
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/src/steering/upstream_view.cc
@@ -0,0 +1,129 @@
+#include "steering/upstream_view.h"
+
+#include <algorithm>
+
+namespace jujube::steering {
+namespace {
+
+// Between availability zones of a region, section 3 of the design page.
+constexpr std::chrono::milliseconds kZoneDelay{1};
+
+// Regions without a link in the deployment: farther than any link of today.
+constexpr std::chrono::milliseconds kUnknownDelay{100};
+
+const AvailabilityZone* FindZone(const Deployment& deployment,
+                                 const AvailabilityZoneId& name) {
+  const auto& zones = deployment.m_availability_zones;
+  const auto found =
+      std::find_if(zones.begin(), zones.end(),
+                   [&](const auto& zone) { return zone.m_name == name; });
+  return found == zones.end() ? nullptr : &*found;
+}
+
+std::chrono::milliseconds LinkDelay(const Deployment& deployment,
+                                    const RegionId& a,
+                                    const RegionId& b) {
+  for (const Link& link : deployment.m_links) {
+    if ((link.m_a == a && link.m_b == b) || (link.m_a == b && link.m_b == a))
+      return link.m_delay;
+  }
+  return kUnknownDelay;
+}
+
+bool IsDraining(const std::vector<Drain>& drains,
+                const Announcement& announcement,
+                const RegionId& region) {
+  return std::any_of(drains.begin(), drains.end(), [&](const Drain& drain) {
+    switch (drain.m_kind) {
+      case DrainKind::kInstance:
+        return drain.m_name == announcement.m_service.m_value + "/" +
+                                   announcement.m_instance.m_value;
+      case DrainKind::kAvailabilityZone:
+        return drain.m_name == announcement.m_availability_zone.m_value;
+      case DrainKind::kRegion:
+        return drain.m_name == region.m_value;
+      case DrainKind::kEntryHost:
+        break;
+    }
+    return false;
+  });
+}
+
+SlotGrant GrantOf(const ViewInputs& inputs, const Announcement& announcement) {
+  if (!inputs.m_grants)
+    return {.m_safe = announcement.m_slots};
+  const auto found = inputs.m_grants->find(membership::KeyOf(announcement));
+  return found == inputs.m_grants->end() ? SlotGrant{} : found->second;
+}
+
+Upstream MakeUpstream(const ViewInputs& inputs,
+                      const membership::Member& member,
+                      const RegionId& region,
+                      CounterTable& counters) {
+  const Announcement& announcement = member.m_announcement;
+  const AvailabilityZone* own = FindZone(inputs.m_deployment, inputs.m_zone);
+  const bool is_same_zone = announcement.m_availability_zone == inputs.m_zone;
+  const bool is_same_region = own != nullptr && own->m_region == region;
+  const Tier remote = is_same_region ? Tier::kRegion : Tier::kRemote;
+  const auto distance =
+      is_same_region ? kZoneDelay
+                     : LinkDelay(inputs.m_deployment,
+                                 own ? own->m_region : RegionId{}, region);
+  return {.m_member = member,
+          .m_region = region,
+          .m_tier = is_same_zone ? Tier::kZone : remote,
+          .m_delay = is_same_zone ? std::chrono::milliseconds(0) : distance,
+          .m_grant = GrantOf(inputs, announcement),
+          .m_is_draining = IsDraining(inputs.m_drains, announcement, region),
+          .m_counters = counters.Of(membership::KeyOf(announcement),
+                                    announcement.m_incarnation)};
+}
+
+bool NameIsLess(const ServiceUpstreams& service, const ServiceId& name) {
+  return service.m_service.m_name < name;
+}
+
+}  // namespace
+
+UpstreamView BuildView(const ViewInputs& inputs, CounterTable& counters) {
+  UpstreamView view{.m_registry_version = inputs.m_registry.m_version,
+                    .m_deployment_number = inputs.m_deployment.m_number,
+                    .m_weights = inputs.m_deployment.m_weights};
+  for (const Service& service : inputs.m_deployment.m_services) {
+    view.m_services.push_back({.m_service = service,
+                               .m_upstreams = {},
+                               .m_budget = counters.BudgetOf(service.m_name)});
+  }
+  std::sort(view.m_services.begin(), view.m_services.end(),
+            [](const auto& a, const auto& b) {
+              return a.m_service.m_name < b.m_service.m_name;
+            });
+  // Members come ordered by service and instance, so each list is ordered too.
+  for (const membership::Member& member : inputs.m_registry.m_members) {
+    const Announcement& announcement = member.m_announcement;
+    const auto service =
+        std::lower_bound(view.m_services.begin(), view.m_services.end(),
+                         announcement.m_service, NameIsLess);
+    const AvailabilityZone* zone =
+        FindZone(inputs.m_deployment, announcement.m_availability_zone);
+    if (service == view.m_services.end() || zone == nullptr ||
+        service->m_service.m_name != announcement.m_service) {
+      ++view.m_unknown;
+      continue;
+    }
+    service->m_upstreams.push_back(
+        MakeUpstream(inputs, member, zone->m_region, counters));
+  }
+  return view;
+}
+
+const ServiceUpstreams* FindService(const UpstreamView& view,
+                                    const ServiceId& service) {
+  const auto found = std::lower_bound(
+      view.m_services.begin(), view.m_services.end(), service, NameIsLess);
+  if (found == view.m_services.end() || found->m_service.m_name != service)
+    return nullptr;
+  return &*found;
+}
+
+}  // namespace jujube::steering
--- /dev/null
+++ b/tests/unit/steering_failure_test.cc
@@ -0,0 +1,228 @@
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "steering/admission.h"
+#include "steering/capacity_gate.h"
+#include "steering/outlier_ejector.h"
+#include "steering/retry_decision.h"
+#include "unit/property.h"
+#include "unit/steering_sample.h"
+
+namespace jujube::steering {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = EjectionChange::Kind;
+
+UpstreamView ViewOf(int instances, CounterTable& counters) {
+  std::vector<membership::Member> members;
+  for (int i = 0; i < instances; ++i) {
+    members.push_back(
+        SampleMember(std::string(1, static_cast<char>('a' + i)), "luz-a"));
+    members.back().m_expires = At(100000000);
+  }
+  return SampleView(members, counters);
+}
+
+void Fail(const ServiceUpstreams& service, std::size_t index, MonoTime now) {
+  for (int i = 0; i < 5; ++i)
+    service.m_upstreams[index].m_counters->Record(Outcome::kFailure,
+                                                  milliseconds(1), now);
+}
+
+std::size_t CandidateCount(const ServiceUpstreams& service, MonoTime now) {
+  std::vector<Candidate> candidates;
+  CollectCandidates(service, {.m_now = now}, candidates);
+  return candidates.size();
+}
+
+// Guards against an instance that fails each request and stays in use because
+// it reports to be healthy and idle.
+TEST(OutlierEjection, FailingInstanceRestsWithGrowingBackoff) {
+  CounterTable counters;
+  const UpstreamView view = ViewOf(3, counters);
+  const ServiceUpstreams& service = view.m_services[0];
+  Fail(service, 1, At(0));
+  const auto first = EvaluateOutliers(service, {}, At(0));
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0], (EjectionChange{.m_instance = {"b"},
+                                      .m_kind = Kind::kEjected,
+                                      .m_until = At(5000)}));
+  EXPECT_EQ(CandidateCount(service, At(4999)), 2U);
+  EXPECT_EQ(CandidateCount(service, At(5000)), 3U);
+  EXPECT_TRUE(EvaluateOutliers(service, {}, At(5000)).empty());
+  Fail(service, 1, At(5001));
+  EXPECT_EQ(EvaluateOutliers(service, {}, At(5001)).at(0).m_until, At(15001));
+}
+
+TEST(OutlierEjection, BackoffIsBoundedAndShortensAgain) {
+  CounterTable counters;
+  const UpstreamView view = ViewOf(3, counters);
+  const ServiceUpstreams& service = view.m_services[0];
+  MonoTime now = At(0);
+  for (int i = 0; i < 40; ++i) {
+    Fail(service, 0, now);
+    now = EvaluateOutliers(service, {}, now).at(0).m_until;
+  }
+  Fail(service, 0, now);
+  EXPECT_EQ(EvaluateOutliers(service, {}, now).at(0).m_until,
+            now + seconds(300));
+  InstanceCounters& healthy = *service.m_upstreams[0].m_counters;
+  const std::uint32_t before = healthy.Observe().m_ejection_count;
+  for (int i = 0; i < 20; ++i)
+    healthy.Record(Outcome::kSuccess, milliseconds(1), now);
+  EvaluateOutliers(service, {}, now + seconds(601));
+  EXPECT_EQ(healthy.Observe().m_ejection_count, before - 1);
+}
+
+// Guards against a fault of the network or of the requests that ejects a whole
+// service.
+TEST(OutlierEjection, NeverExceedsItsBound) {
+  for (const int instances : {1, 2, 3, 16}) {
+    CounterTable counters;
+    const UpstreamView view = ViewOf(instances, counters);
+    const ServiceUpstreams& service = view.m_services[0];
+    for (int i = 0; i < instances; ++i)
+      Fail(service, static_cast<std::size_t>(i), At(0));
+    EvaluateOutliers(service, {}, At(0));
+    EvaluateOutliers(service, {}, At(1));
+    const auto bound = static_cast<std::size_t>(instances * 340 / 1000);
+    EXPECT_EQ(CandidateCount(service, At(1)),
+              static_cast<std::size_t>(instances) - bound);
+  }
+}
+
+// Guards against ejecting instances that only refuse for lack of slots.
+TEST(OutlierEjection, SheddingIsNotAFailure) {
+  CounterTable counters;
+  const UpstreamView view = ViewOf(3, counters);
+  for (int i = 0; i < 50; ++i)
+    view.m_services[0].m_upstreams[0].m_counters->Record(
+        Outcome::kShed, milliseconds(1), At(0));
+  EXPECT_TRUE(EvaluateOutliers(view.m_services[0], {}, At(0)).empty());
+}
+
+RetryFacts Retryable() {
+  return {.m_verdict = Verdict::kNotRun,
+          .m_remaining = milliseconds(100),
+          .m_expected = milliseconds(10)};
+}
+
+// Guards against a second run of a non-repeatable request.
+TEST(RetryDecision, NeedsNotRunOrARepeatableMethod) {
+  const Service service{.m_non_repeatable_methods = {"POST"}};
+  EXPECT_TRUE(IsRepeatable(service, "GET"));
+  EXPECT_FALSE(IsRepeatable(service, "POST"));
+  RetryBudget budget;
+  RetryFacts facts = Retryable();
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kRetry);
+  facts.m_verdict = Verdict::kMayHaveRun;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kMayHaveRun);
+  facts.m_verdict = Verdict::kRan;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kMayHaveRun);
+  facts.m_is_repeatable = true;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kRetry);
+}
+
+TEST(RetryDecision, StaysWithinDeadlineAttemptsAndLayer) {
+  RetryBudget budget;
+  RetryFacts facts = Retryable();
+  facts.m_remaining = facts.m_expected;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kDeadline);
+  facts = Retryable();
+  facts.m_attempts = kMaxAttempts;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kAttemptsSpent);
+  facts = Retryable();
+  facts.m_is_forwarded = true;
+  EXPECT_EQ(DecideRetry(facts, 100, budget), RetryAnswer::kOtherLayer);
+  EXPECT_EQ(DecideRetry(Retryable(), 0, budget), RetryAnswer::kBudgetSpent);
+}
+
+// Guards against retries that multiply the load on a failing service.
+TEST(RetryBudget, BoundsRetriesOverAllThreads) {
+  RetryBudget budget;
+  std::atomic<int> retries = 0;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&] {
+      for (int request = 0; request < 1000; ++request) {
+        budget.OnRequest(100);
+        if (budget.TryWithdraw(100))
+          ++retries;
+      }
+    });
+  }
+  for (std::thread& thread : threads)
+    thread.join();
+  EXPECT_GE(retries, 390);
+  EXPECT_LE(retries, 403);
+}
+
+TEST(RetryBudget, IdleTimeSavesOnlyABurst) {
+  RetryBudget budget;
+  for (int i = 0; i < 100000; ++i)
+    budget.OnRequest(1000);
+  int retries = 0;
+  while (budget.TryWithdraw(1000))
+    ++retries;
+  EXPECT_EQ(retries, 10);
+}
+
+AdmissionFacts Admissible() {
+  return {.m_slots = {.m_usable = 9, .m_in_use = 8},
+          .m_host_cap = 100,
+          .m_remaining = milliseconds(5)};
+}
+
+// Guards against requests that wait for slots until their deadline.
+TEST(Admission, RefusesEarlyAndTruly) {
+  EXPECT_EQ(DecideAdmission(Admissible()), AdmissionAnswer::kAdmitted);
+  AdmissionFacts facts = Admissible();
+  facts.m_slots.m_in_use = 9;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kSlotsTaken);
+  EXPECT_EQ(VerdictOf(AdmissionAnswer::kSlotsTaken), Verdict::kNotRun);
+  facts.m_slots.m_usable = 0;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kNoUpstream);
+  facts = Admissible();
+  facts.m_is_host_draining = true;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kHostDraining);
+  facts = Admissible();
+  facts.m_remaining = seconds(0);
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kDeadlinePassed);
+}
+
+// Guards against unimportant requests that fill a cap before important ones.
+TEST(Admission, LowerPrioritiesAreRefusedFirst) {
+  AdmissionFacts facts = Admissible();
+  facts.m_host_in_progress = 80;
+  facts.m_priority = 0;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kPriorityTooLow);
+  facts.m_priority = 9;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kAdmitted);
+  facts.m_host_in_progress = 100;
+  EXPECT_EQ(DecideAdmission(facts), AdmissionAnswer::kPriorityTooLow);
+}
+
+TEST(CapacityGate, UsableCapGrowsWithPriorityAndIsNeverAboveTheCap) {
+  const bool holds = CheckWithSeed(14, [] {
+    const auto cap = *rc::gen::arbitrary<std::uint32_t>();
+    for (std::uint8_t priority = 0; priority < 9; ++priority)
+      RC_ASSERT(UsableCap(cap, priority) <=
+                UsableCap(cap, static_cast<std::uint8_t>(priority + 1)));
+    RC_ASSERT(UsableCap(cap, 9) == cap);
+    RC_ASSERT(cap == 0 || UsableCap(cap, 0) >= 1);
+  });
+  EXPECT_TRUE(holds);
+  CapacityGate gate;
+  EXPECT_TRUE(gate.TryEnter(1, 0));
+  EXPECT_FALSE(gate.TryEnter(1, 9));
+  gate.Leave();
+  EXPECT_TRUE(gate.TryEnter(1, 9));
+}
+
+}  // namespace
+}  // namespace jujube::steering
