--- a/tests/unit/observe_log_test.cc
+++ b/tests/unit/observe_log_test.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -17,8 +19,7 @@
 class LogTest : public testing::Test {
  protected:
   explicit LogTest()
-      : m_path(testing::TempDir() + "jujube-log-" +
-               testing::UnitTest::GetInstance()->current_test_info()->name()) {
+      : m_path(testing::TempDir() + "jujube-log-" + std::to_string(getpid())) {
     std::filesystem::remove(m_path);
   }
   ~LogTest() override {
