--- a/src/gen/feed.h
+++ b/src/gen/feed.h
@@ -72,10 +72,13 @@
   friend auto operator<=>(const HostVersion&, const HostVersion&) = default;
 };
 
-// What a subscriber and those below it run.
+// Heartbeat of the feed. Upwards: what a subscriber and those below it run.
 struct FeedStatus {
-  std::vector<HostVersion>
-      m_hosts;  // a line for each host (at most 2048 elements)
+  std::vector<HostVersion> m_hosts;  // a line for each host; none from a parent
+                                     // (at most 2048 elements)
+  std::chrono::milliseconds m_origin_age{
+      0};  // from a parent: time since the control voters were current, as
+           // known to it (from 0)
 
   friend auto operator<=>(const FeedStatus&, const FeedStatus&) = default;
 };
--- a/src/gen/feed_serialize.h
+++ b/src/gen/feed_serialize.h
@@ -40,7 +40,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, FeedStatus& value) {
-  archive(wire::Bounded(value.m_hosts, 2048));
+  archive(wire::Bounded(value.m_hosts, 2048), wire::Count(value.m_origin_age));
 }
 
 template <class Archive>
--- /dev/null
+++ b/src/net/feed_server.cc
@@ -0,0 +1,173 @@
+#include "net/feed_server.h"
+
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+
+namespace jujube::net {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Room for a chunk of a snapshot. A subscriber with more than this to read gets
+// no heartbeats, so that they do not pile up in its queue.
+constexpr std::size_t kMaxQueuedBeforeBeat = 128U << 10U;
+
+}  // namespace
+
+struct FeedServer::Impl : std::enable_shared_from_this<FeedServer::Impl> {
+  struct Subscription {
+    std::weak_ptr<FrameConnection> m_connection;
+    feed::Cursor m_cursor;
+  };
+
+  Impl(asio::io_context& context,
+       const FeedServerOptions& options,
+       feed::StatusTable& table)
+      : m_timer(context),
+        m_options(options),
+        m_table(table),
+        m_publisher(options.m_limits) {}
+
+  void Subscribe(const FrameSource& source, const FeedSubscribe& request);
+  void Pump(const FrameConnection* key);
+  void PumpAll();
+  void Beat();
+
+  asio::steady_timer m_timer;
+  FeedServerOptions m_options;
+  feed::StatusTable& m_table;
+  feed::Publisher m_publisher;
+  std::unordered_map<const FrameConnection*, Subscription> m_subscriptions;
+  bool m_stopped = false;
+};
+
+void FeedServer::Impl::Subscribe(const FrameSource& source,
+                                 const FeedSubscribe& request) {
+  const auto connection = source.m_connection.lock();
+  if (!connection || m_stopped)
+    return;
+  const FrameConnection* key = connection.get();
+  const auto [entry, added] = m_subscriptions.try_emplace(key);
+  entry->second = {.m_connection = connection,
+                   .m_cursor = {.m_index = request.m_have_index}};
+  if (added) {
+    connection->OnDrained([self = weak_from_this(), key] {
+      const auto server = self.lock();
+      if (server)
+        server->Pump(key);
+    });
+    connection->OnClosed([self = weak_from_this(), key] {
+      const auto server = self.lock();
+      if (server)
+        server->m_subscriptions.erase(key);
+    });
+  }
+  Pump(key);
+}
+
+// Sends while the queue of the subscriber is empty, which is one message. The
+// next one follows when that message has been written.
+void FeedServer::Impl::Pump(const FrameConnection* key) {
+  const auto found = m_subscriptions.find(key);
+  if (found == m_subscriptions.end())
+    return;
+  const auto connection = found->second.m_connection.lock();
+  if (!connection || !connection->IsOpen() || connection->QueuedBytes() > 0)
+    return;
+  const auto message = m_publisher.Next(&found->second.m_cursor);
+  if (message &&
+      !connection->SendEncoded(message->m_type, message->m_payload)) {
+    // The cursor is past a message that was not queued. The subscriber starts
+    // again on a new connection.
+    connection->Close();
+  }
+}
+
+void FeedServer::Impl::PumpAll() {
+  // Pump closes a connection at most; the entry goes later, when the callback
+  // of the close runs.
+  for (const auto& [key, subscription] : m_subscriptions)
+    Pump(key);
+}
+
+void FeedServer::Impl::Beat() {
+  m_timer.expires_after(m_options.m_heartbeat);
+  m_timer.async_wait([self = weak_from_this()](const auto& error) {
+    const auto server = self.lock();
+    if (error || !server || server->m_stopped)
+      return;
+    const auto age = server->m_options.m_origin_age
+                         ? server->m_options.m_origin_age()
+                         : std::chrono::milliseconds(0);
+    for (const auto& [key, subscription] : server->m_subscriptions) {
+      const auto connection = subscription.m_connection.lock();
+      if (connection && connection->QueuedBytes() < kMaxQueuedBeforeBeat)
+        connection->Send(FeedStatus{.m_origin_age = age});
+    }
+    server->m_publisher.Trim();
+    server->Beat();
+  });
+}
+
+FeedServer::FeedServer(asio::io_context& context,
+                       const FeedServerOptions& options,
+                       feed::StatusTable& table)
+    : m_impl(std::make_shared<Impl>(context, options, table)) {}
+
+FeedServer::~FeedServer() {
+  Stop();
+}
+
+void FeedServer::Register(FrameDispatch* handlers) {
+  handlers->On<FeedSubscribe>(
+      [self = std::weak_ptr(m_impl)](const FrameSource& source,
+                                     const FeedSubscribe& request) {
+        const auto server = self.lock();
+        if (server)
+          server->Subscribe(source, request);
+      });
+  handlers->On<FeedStatus>([self = std::weak_ptr(m_impl)](
+                               const FrameSource&, const FeedStatus& report) {
+    const auto server = self.lock();
+    if (server && !server->m_stopped)
+      server->m_table.Merge(report, MonoClock::now());
+  });
+}
+
+void FeedServer::Start() {
+  m_impl->Beat();
+}
+
+void FeedServer::Stop() {
+  m_impl->m_stopped = true;
+  m_impl->m_timer.cancel();
+  m_impl->m_subscriptions.clear();
+}
+
+Status FeedServer::Publish(feed::Publisher::State state) {
+  JUJUBE_TRY(m_impl->m_publisher.Publish(std::move(state)));
+  m_impl->PumpAll();
+  return Success();
+}
+
+Status FeedServer::Publish(feed::Publisher::State state,
+                           const FeedChange& change) {
+  JUJUBE_TRY(m_impl->m_publisher.Publish(std::move(state), change));
+  m_impl->PumpAll();
+  return Success();
+}
+
+const feed::Publisher& FeedServer::Source() const {
+  return m_impl->m_publisher;
+}
+
+std::size_t FeedServer::Subscribers() const {
+  return m_impl->m_subscriptions.size();
+}
+
+}  // namespace jujube::net
--- /dev/null
+++ b/src/net/feed_server.h
@@ -0,0 +1,70 @@
+// FeedServer: publishes the configuration to subscribers over frames.
+//
+//   feed::StatusTable table;
+//   net::FeedServer feed(context, {}, table);
+//   net::FrameDispatch handlers;
+//   feed.Register(&handlers);          // with the handlers of other groups
+//   net::FrameServer server(context, options, std::move(handlers));
+//   feed.Start();
+//   feed.Publish(state);               // at each change
+//
+// Used by control voters and by entry hosts that relay. Belongs to the thread
+// of its io_context, together with the FrameServer. Destroy the FrameServer
+// first.
+
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "feed/publisher.h"
+#include "feed/status_table.h"
+#include "net/frame_dispatch.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace jujube::net {
+
+struct FeedServerOptions {
+  feed::PublisherLimits m_limits;
+  // A subscriber that hears nothing for several of these changes its parent.
+  std::chrono::milliseconds m_heartbeat{1000};
+  // Time since the state was known to be current; sent with each heartbeat. A
+  // relay passes FeedClient::OriginAge, a voter the time since it last heard a
+  // quorum or the leader. Empty: always 0.
+  std::function<std::chrono::milliseconds()> m_origin_age;
+};
+
+class FeedServer {
+ public:
+  // table: receives the reports of subscribers; outlives the server.
+  FeedServer(boost::asio::io_context& context,
+             const FeedServerOptions& options,
+             feed::StatusTable& table);
+  ~FeedServer();  // stops
+  FeedServer(const FeedServer&) = delete;
+  FeedServer& operator=(const FeedServer&) = delete;
+
+  // Adds the handlers of FeedSubscribe and FeedStatus.
+  void Register(FrameDispatch* handlers);
+
+  void Start();  // heartbeats
+  void Stop();
+
+  // See feed::Publisher. Subscribers get the change as fast as they read.
+  Status Publish(feed::Publisher::State state);
+  Status Publish(feed::Publisher::State state, const FeedChange& change);
+
+  const feed::Publisher& Source() const;
+  std::size_t Subscribers() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jujube::net
--- a/src/net/frame_client.h
+++ b/src/net/frame_client.h
@@ -48,8 +48,9 @@
   FrameClient(const FrameClient&) = delete;
   FrameClient& operator=(const FrameClient&) = delete;
 
-  // Called with true after each handshake and with false after each loss. Set
-  // before Start. Use it to introduce or subscribe on a new connection.
+  // Called with true after each handshake and with false after each loss and
+  // each failed attempt. Set before Start. Use it to introduce or subscribe on
+  // a new connection. The callback may stop or destroy the client.
   void OnConnection(std::function<void(bool connected)> callback);
 
   void Start();
--- /dev/null
+++ b/tests/unit/feed_state_test.cc
@@ -0,0 +1,260 @@
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "feed/change.h"
+#include "feed/follower.h"
+#include "feed/publisher.h"
+#include "feed/status_table.h"
+#include "gen/feed_wire.h"
+
+namespace jujube::feed {
+namespace {
+
+using std::chrono::milliseconds;
+
+// rapidcheck reads its seed from here, once for the program.
+const bool g_fixed_seed = ::setenv("RC_PARAMS", "seed=20261204", 0) == 0;
+
+constexpr std::size_t kBlocks = 200;
+
+// The state at an index: index i moves one block and, at each tenth, removes or
+// restores one, so that any two indexes differ.
+Publisher::State StateAt(std::uint64_t index) {
+  FeedState state{.m_index = index};
+  state.m_deployment.m_number = index * 2;
+  for (std::size_t block = 0; block < kBlocks; ++block) {
+    if (block == 5 && (index / 10) % 2 == 1)
+      continue;
+    const std::uint64_t site = (index + kBlocks - block) / kBlocks;
+    state.m_deployment.m_blocks.push_back(
+        {.m_prefix = "10.0." + std::to_string(block) + ".0/24",
+         .m_site = {"site-" + std::to_string(site)}});
+  }
+  if (index % 7 == 0)
+    state.m_drains.push_back({.m_kind = DrainKind::kRegion, .m_name = "r"});
+  return std::make_shared<const FeedState>(Canonical(std::move(state)));
+}
+
+Progress Deliver(Follower* follower, const FeedMessage& message) {
+  if (message.m_type == FrameType::kFeedChange)
+    return follower->OnChange(DecodeFeedChange(*message.m_payload).value());
+  return follower->OnChunk(DecodeFeedSnapshotChunk(*message.m_payload).value());
+}
+
+struct Served {
+  std::size_t m_changes = 0;
+  std::size_t m_chunks = 0;
+};
+
+Served CatchUp(Publisher* publisher, Follower* follower) {
+  Served served;
+  Cursor cursor{.m_index = follower->Index()};
+  while (const auto message = publisher->Next(&cursor)) {
+    const bool change = message->m_type == FrameType::kFeedChange;
+    ++(change ? served.m_changes : served.m_chunks);
+    Deliver(follower, *message);
+  }
+  return served;
+}
+
+void PublishUpTo(Publisher* publisher, std::uint64_t index) {
+  for (std::uint64_t i = publisher->Index() + 1; i <= index; ++i)
+    ASSERT_TRUE(publisher->Publish(StateAt(i)));
+}
+
+TEST(FeedChange, MakeAndApplyAreInverse) {
+  rc::check([] {
+    const auto from = *rc::gen::inRange<std::uint64_t>(1, 900);
+    const auto to = from + *rc::gen::inRange<std::uint64_t>(1, 900);
+    const auto change = MakeChange(*StateAt(from), *StateAt(to));
+    RC_ASSERT(ApplyChange(*StateAt(from), change.value()).value() ==
+              *StateAt(to));
+    RC_ASSERT(!ApplyChange(*StateAt(from + 1), change.value()));
+  });
+}
+
+TEST(FeedPublisher, FiveHundredMissedChangesComeFromTheTail) {
+  Publisher publisher;
+  PublishUpTo(&publisher, 100);
+  Follower follower(StateAt(100));
+  PublishUpTo(&publisher, 600);
+  const Served served = CatchUp(&publisher, &follower);
+  EXPECT_EQ(served.m_changes, 500U);
+  EXPECT_EQ(served.m_chunks, 0U);
+  EXPECT_EQ(*follower.Current(), *StateAt(600));
+}
+
+TEST(FeedPublisher, FiveHundredMissedChangesComeFromASnapshotOfAShortTail) {
+  Publisher publisher({.m_max_tail_changes = 50, .m_chunk_bytes = 512});
+  PublishUpTo(&publisher, 100);
+  Follower follower(StateAt(100));
+  PublishUpTo(&publisher, 600);
+  const Served served = CatchUp(&publisher, &follower);
+  EXPECT_EQ(served.m_changes, 0U);
+  EXPECT_GT(served.m_chunks, 2U);
+  EXPECT_EQ(*follower.Current(), *StateAt(600));
+}
+
+// Guards against a parent that serves an older state than it did before.
+TEST(FeedPublisher, OlderStateIsRefused) {
+  Publisher publisher;
+  PublishUpTo(&publisher, 5);
+  EXPECT_FALSE(publisher.Publish(StateAt(5)));
+  EXPECT_FALSE(publisher.Publish(StateAt(3)));
+  EXPECT_EQ(publisher.Index(), 5U);
+}
+
+// Guards against memory that grows with the number of changes or of slow
+// subscribers.
+TEST(FeedPublisher, MemoryIsBoundedWithSlowSubscribers) {
+  const std::size_t snapshot = Encode(*StateAt(1)).size();
+  const PublisherLimits limits{
+      .m_max_tail_changes = 20, .m_max_tail_bytes = 4096, .m_chunk_bytes = 64};
+  Publisher publisher(limits);
+  std::vector<Cursor> slow;
+  for (std::uint64_t index = 1; index <= 400; ++index) {
+    PublishUpTo(&publisher, index);
+    slow.emplace_back();
+    for (Cursor& cursor : slow)
+      publisher.Next(&cursor);
+    EXPECT_LE(publisher.HeldBytes(),
+              limits.m_max_tail_bytes + snapshot + snapshot / 4);
+  }
+  slow.clear();
+  publisher.Trim();
+  EXPECT_LE(publisher.HeldBytes(), limits.m_max_tail_bytes);
+}
+
+// Guards against a subscriber that never ends: it reads a chunk for each
+// change, and the snapshot moves on under it.
+TEST(FeedPublisher, SlowSubscriberArrivesWhileChangesGoOn) {
+  Publisher publisher({.m_max_tail_changes = 500, .m_chunk_bytes = 256});
+  PublishUpTo(&publisher, 1);
+  Follower follower;
+  Cursor cursor;
+  std::uint64_t index = 1;
+  for (; index < 300 && follower.Index() == 0; ++index) {
+    PublishUpTo(&publisher, index + 1);
+    Deliver(&follower, publisher.Next(&cursor).value());
+  }
+  EXPECT_LT(index, 300U);
+  while (const auto message = publisher.Next(&cursor))
+    Deliver(&follower, *message);
+  EXPECT_EQ(*follower.Current(), *StateAt(publisher.Index()));
+}
+
+// Guards against an older or mixed state after messages were lost, duplicated
+// or reordered, on one connection or over several.
+TEST(FeedFollower, AnyOrderOfMessagesLeadsOnlyToNewerWholeStates) {
+  rc::check([] {
+    Publisher publisher({.m_max_tail_changes = 8, .m_chunk_bytes = 2048});
+    Follower follower;
+    std::vector<FeedMessage> sent;
+    Cursor cursor;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 100));
+    for (const int step : steps) {
+      const std::uint64_t before = follower.Index();
+      Progress progress = Progress::kIgnored;
+      if (step < 30) {
+        RC_ASSERT(publisher.Publish(StateAt(publisher.Index() + 1)));
+      } else if (step < 60) {
+        if (const auto message = publisher.Next(&cursor)) {
+          sent.push_back(*message);
+          if (step < 52)  // otherwise lost
+            progress = Deliver(&follower, *message);
+        }
+      } else if (step < 90 && !sent.empty()) {
+        progress = Deliver(&follower, sent[(step * 7919U) % sent.size()]);
+      } else {
+        cursor = {.m_index = follower.Index()};
+        follower.OnSubscribe();
+      }
+      RC_ASSERT(progress != Progress::kRefused);
+      RC_ASSERT(follower.Index() >= before);
+      RC_ASSERT((follower.Index() > before) ==
+                (progress == Progress::kApplied));
+      if (follower.Current())
+        RC_ASSERT(*follower.Current() == *StateAt(follower.Index()));
+    }
+    CatchUp(&publisher, &follower);
+    RC_ASSERT(follower.Index() == publisher.Index());
+  });
+}
+
+// Guards against memory of the size that a hostile total asks for, and against
+// a snapshot that is longer than it said.
+TEST(FeedFollower, InconsistentChunksAreRefused) {
+  const FeedSnapshotChunk good{
+      .m_index = 3, .m_total_bytes = 100, .m_data = std::string(10, 'x')};
+  const auto with = [&](auto change) {
+    FeedSnapshotChunk chunk = good;
+    change(&chunk);
+    return chunk;
+  };
+  Follower follower;
+  EXPECT_EQ(follower.OnChunk(with(
+                [](auto* c) { c->m_total_bytes = kMaxSnapshotBytes + 1; })),
+            Progress::kRefused);
+  EXPECT_EQ(follower.OnChunk(with([](auto* c) { c->m_total_bytes = 9; })),
+            Progress::kRefused);
+  EXPECT_EQ(follower.OnChunk(with([](auto* c) { c->m_data.clear(); })),
+            Progress::kRefused);
+  EXPECT_EQ(
+      follower.OnChunk(with([](auto* c) { c->m_offset = ~std::uint64_t{0}; })),
+      Progress::kRefused);
+  EXPECT_EQ(follower.OnChunk(
+                with([](auto* c) { c->m_total_bytes = kMaxSnapshotBytes; })),
+            Progress::kPartial);
+  EXPECT_LT(follower.PartialBytes(), 1024U);
+  EXPECT_EQ(follower.OnChunk(with([](auto* c) { c->m_offset = 10; })),
+            Progress::kRefused);
+}
+
+// Guards against a snapshot whose content is another index or is malformed.
+TEST(FeedFollower, SnapshotMustDecodeToItsIndex) {
+  const std::string bytes = Encode(*StateAt(9));
+  const FeedSnapshotChunk chunk{
+      .m_index = 10, .m_total_bytes = bytes.size(), .m_data = bytes};
+  Follower follower;
+  EXPECT_EQ(follower.OnChunk(chunk), Progress::kRefused);
+  EXPECT_EQ(follower.OnChunk({.m_index = 9,
+                              .m_total_bytes = bytes.size() - 1,
+                              .m_data = bytes.substr(1)}),
+            Progress::kRefused);
+  EXPECT_EQ(follower.Index(), 0U);
+}
+
+// Guards against an older report of a host that arrives late on another path.
+TEST(FeedStatusTable, NewestReportOfAHostStays) {
+  StatusTable table;
+  const MonoTime now{std::chrono::seconds(100)};
+  const HostVersion old{.m_host = {"e1"}, .m_incarnation = 1, .m_index = 9};
+  const HostVersion restarted{
+      .m_host = {"e1"}, .m_incarnation = 2, .m_index = 4};
+  table.Merge({.m_hosts = {restarted}}, now);
+  table.Merge({.m_hosts = {old}}, now);
+  EXPECT_EQ(table.Hosts(now), std::vector{restarted});
+}
+
+// Guards against reports that grow without bound, and against hosts that are
+// reported for ever after they are gone.
+TEST(FeedStatusTable, ReportsAreBoundedAndHostsExpire) {
+  StatusTable table({.m_max_hosts = 3});
+  const MonoTime now{std::chrono::seconds(100)};
+  for (int i = 0; i < 10; ++i)
+    table.Merge({.m_hosts = {{.m_host = {"e" + std::to_string(i)}}}}, now);
+  EXPECT_EQ(table.Report(now).m_hosts.size(), 3U);
+  EXPECT_TRUE(table.Report(now + milliseconds(1000)).m_hosts.empty());
+  EXPECT_EQ(table.Report(now + milliseconds(5000)).m_hosts.size(), 3U);
+  EXPECT_TRUE(table.Hosts(now + milliseconds(20000)).empty());
+  table.Merge({.m_hosts = {{.m_host = {"new"}}}}, now + milliseconds(20000));
+  EXPECT_EQ(table.Report(now + milliseconds(20000)).m_hosts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace jujube::feed
