Add the wiring of the entry daemon (not built yet)

Cause: the path of a request through an entry host. Change: control thread, peer exchange, handlers and daemon.

--- a/src/entry/attempt_runner.cc
+++ b/src/entry/attempt_runner.cc
@@ -60,8 +60,8 @@
     co_return std::move(m_result);
   const bool has_body = request.m_head.m_method != "HEAD";
   co_await TakeResponse(*std::move(head), has_body);
-  const bool is_whole = !m_result.m_failure ||
-                        *m_result.m_failure == Failure::kNotStarted;
+  const bool is_whole =
+      !m_result.m_failure || *m_result.m_failure == Failure::kNotStarted;
   if (is_whole && m_connection != nullptr) {
     m_pool.Return(endpoint, incarnation, std::move(m_connection),
                   MonoClock::now());
@@ -88,9 +88,9 @@
 }
 
 asio::awaitable<bool> AttemptRunner::Send(const OutgoingRequest& request) {
-  const bool allowed =
-      co_await m_pacer.Pass(LinkDirection::kToUpstream,
-                            request.m_body.size() + kPartBytes / 16, m_deadline);
+  const bool allowed = co_await m_pacer.Pass(
+      LinkDirection::kToUpstream, request.m_body.size() + kPartBytes / 16,
+      m_deadline);
   if (!allowed) {
     Fail(Failure::kTimeout,
          MakeError(ErrorCode::kTimeout, "the link had no room in time"));
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -29,14 +29,14 @@
 // What is sent to the upstream.
 struct OutgoingRequest {
   RequestHead m_head;
-  std::string m_body;             // the part that was read already
-  bool m_streams_rest = false;    // the rest comes from the caller
+  std::string m_body;           // the part that was read already
+  bool m_streams_rest = false;  // the rest comes from the caller
 };
 
 struct AttemptResult {
-  request::Attempt m_attempt;     // how far it got
+  request::Attempt m_attempt;                        // how far it got
   std::optional<request::AttemptFailure> m_failure;  // none: whole response
-  std::string m_error;            // detail of the failure
+  std::string m_error;                               // detail of the failure
   bool m_is_head_forwarded = false;  // the caller has a part of the response
   std::optional<StoredAnswer> m_answer;  // buffered response, not sent yet
 };
--- a/src/entry/claim_gateway.h
+++ b/src/entry/claim_gateway.h
@@ -22,7 +22,7 @@
   // Nothing if no leader answered in time: the claim may or may not stand.
   {
     gateway.Claim(request, deadline)
-  } -> std::same_as<boost::asio::awaitable<std::optional<ClaimReply>>>;
+    } -> std::same_as<boost::asio::awaitable<std::optional<ClaimReply>>>;
   // Records the outcome in the background.
   { gateway.Finish(finish) } -> std::same_as<void>;
 };
--- /dev/null
+++ b/src/entry/daemon.cc
@@ -0,0 +1,195 @@
+#include "entry/daemon.h"
+
+#include <atomic>
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "config/check.h"
+#include "core/json_document.h"
+#include "entry/entry_control.h"
+#include "entry/entry_shared.h"
+#include "entry/forwarder.h"
+#include "entry/lookup_handler.h"
+#include "entry/operator_handler.h"
+#include "entry/platform_handler.h"
+#include "gen/deployment_json.h"
+#include "net/http_listener.h"
+#include "net/worker_group.h"
+#include "observe/log.h"
+
+namespace jujube::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kMaxDocumentBytes = 64U << 20U;
+constexpr std::size_t kControlThread = 0;
+
+ServingView EmptyView() {
+  return {.m_lookup = std::make_shared<const lookup::Table>(),
+          .m_upstreams = std::make_shared<const steering::UpstreamView>()};
+}
+
+Result<std::optional<Deployment>> ReadDeployment(const std::string& path) {
+  if (path.empty())
+    return std::optional<Deployment>();
+  JUJUBE_TRY(const std::string text, ReadFile(path, kMaxDocumentBytes));
+  JUJUBE_TRY(Deployment deployment, ParseDocument<Deployment>(text, path));
+  const Problems problems = config::Check(deployment);
+  if (!problems.empty())
+    return ProblemsError(problems, path);
+  return std::optional<Deployment>(std::move(deployment));
+}
+
+}  // namespace
+
+// What one worker thread serves with.
+struct Worker {
+  Worker(EntryShared& shared,
+         ClaimClient& claims,
+         asio::io_context& io,
+         std::uint64_t seed)
+      : m_forwarder(shared, claims, io.get_executor(), seed),
+        m_lookups(shared),
+        m_listener(io, [this](net::HttpExchange& exchange) {
+          return LookupHandler::Matches(exchange.Head())
+                     ? m_lookups.Handle(exchange)
+                     : m_forwarder.Handle(exchange);
+        }) {}
+
+  Forwarder m_forwarder;
+  LookupHandler m_lookups;
+  net::HttpListener m_listener;
+};
+
+struct Daemon::State {
+  State(EntrySettings settings, EntryKeys keys)
+      : m_shared(std::move(settings),
+                 static_cast<std::uint64_t>(SystemClock().WallNow().count()),
+                 EmptyView()),
+        m_threads(m_shared.m_settings.m_worker_threads + 1U),
+        m_control(m_threads.Context(kControlThread), m_shared, keys.m_peer),
+        m_platform(keys.m_platform,
+                   [this](const Announcement& announcement) {
+                     m_control.OnAnnouncement(announcement);
+                   }),
+        m_operator(
+            keys.m_operator,
+            [this] { return m_control.CurrentStatus(); },
+            [this] { RequestStop(); }),
+        m_platform_listener(m_threads.Context(kControlThread),
+                            [this](net::HttpExchange& exchange) {
+                              return m_platform.Handle(exchange);
+                            }),
+        m_operator_listener(m_threads.Context(kControlThread),
+                            [this](net::HttpExchange& exchange) {
+                              return m_operator.Handle(exchange);
+                            }) {}
+
+  Status StartOnControlThread(std::optional<Deployment> first);
+  Status StartWorkers();
+  void RequestStop();
+  void FinishStop();
+
+  EntryShared m_shared;
+  net::WorkerGroup m_threads;
+  EntryControl m_control;
+  PlatformHandler m_platform;
+  OperatorHandler m_operator;
+  net::HttpListener m_platform_listener;
+  net::HttpListener m_operator_listener;
+  std::vector<std::unique_ptr<Worker>> m_workers;
+  std::atomic<bool> m_is_stopped = false;
+};
+
+Status Daemon::State::StartOnControlThread(std::optional<Deployment> first) {
+  const EntrySettings& settings = m_shared.m_settings;
+  JUJUBE_TRY(m_control.Start(std::move(first)));
+  JUJUBE_TRY(m_platform_listener.Listen(settings.m_platform));
+  JUJUBE_TRY(m_operator_listener.Listen(settings.m_operator));
+  return Success();
+}
+
+Status Daemon::State::StartWorkers() {
+  Endpoint endpoint = m_shared.m_settings.m_caller;
+  for (std::size_t i = 1; i < m_threads.size(); ++i) {
+    std::optional<Result<std::uint16_t>> port;
+    m_threads.Run(i, [&] {
+      m_workers.push_back(std::make_unique<Worker>(m_shared, m_control.Claims(),
+                                                   m_threads.Context(i),
+                                                   m_shared.m_incarnation + i));
+      port = m_workers.back()->m_listener.Listen(endpoint);
+    });
+    if (!*port)
+      return port->error();
+    endpoint.m_port = port->value();
+  }
+  return Success();
+}
+
+// On the control thread.
+void Daemon::State::RequestStop() {
+  for (const auto& worker : m_workers)
+    worker->m_listener.AnnounceClose();
+  m_control.StartDrain([this] { FinishStop(); });
+}
+
+void Daemon::State::FinishStop() {
+  if (m_control.WasCutShort()) {
+    observe::Log(LogEvent::kHostDrainCutShort,
+                 {{"in_progress", m_shared.m_in_progress.load()}});
+  }
+  m_is_stopped.store(true);
+  m_is_stopped.notify_all();
+}
+
+Daemon::Daemon(EntrySettings settings, EntryKeys keys)
+    : m_state(std::make_unique<State>(std::move(settings), std::move(keys))) {}
+
+Daemon::~Daemon() = default;
+
+Status Daemon::Start() {
+  State& state = *m_state;
+  const EntrySettings& settings = state.m_shared.m_settings;
+  JUJUBE_TRY(std::optional<Deployment> first,
+             ReadDeployment(settings.m_deployment_file));
+  std::optional<Status> started;
+  state.m_threads.Run(kControlThread, [&] {
+    started = state.StartOnControlThread(std::move(first));
+  });
+  JUJUBE_TRY(*started);
+  JUJUBE_TRY(state.StartWorkers());
+  observe::Log(LogEvent::kStarted,
+               {{"host", settings.m_host.m_value},
+                {"incarnation", state.m_shared.m_incarnation}});
+  return Success();
+}
+
+void Daemon::Run() {
+  State& state = *m_state;
+  asio::io_context io(1);
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error)
+      state.m_threads.Post(kControlThread, [&] { state.RequestStop(); });
+  });
+  std::thread waiter([&] { io.run(); });
+  state.m_is_stopped.wait(false);
+  io.stop();
+  waiter.join();
+  for (const auto& worker : state.m_workers)
+    worker->m_listener.Close();
+  state.m_threads.Run(kControlThread, [&] { state.m_control.Stop(); });
+  state.m_threads.Stop();
+  observe::Log(LogEvent::kStopped, {});
+}
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/entry_control.cc
@@ -0,0 +1,369 @@
+#include "entry/entry_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "feed/change.h"
+#include "limits/topology.h"
+#include "observe/log.h"
+#include "observe/metrics.h"
+#include "steering/candidate_collector.h"
+#include "steering/outlier_ejector.h"
+
+// Sections: construction, configuration, views, ticks, allotments, planned
+// stop, status.
+
+namespace jujube::entry {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+// Changes of the registry within a tick share one view. Half of it is the mean
+// delay that this adds to an announcement.
+constexpr milliseconds kTick{50};
+constexpr milliseconds kRenewInterval{1000};
+constexpr milliseconds kRenewTimeout{900};
+
+net::FrameOptions MakeFrameOptions(const EntryShared& shared,
+                                   const std::string& key) {
+  net::FrameOptions options;
+  options.m_key = key;
+  options.m_incarnation = shared.m_incarnation;
+  options.m_on_event = [](LogEvent event, std::string_view detail) {
+    observe::Log(event, {{"detail", detail}});
+  };
+  return options;
+}
+
+RegionId RegionOf(const Deployment& deployment,
+                  const AvailabilityZoneId& zone) {
+  for (const AvailabilityZone& line : deployment.m_availability_zones) {
+    if (line.m_name == zone)
+      return line.m_region;
+  }
+  return {};
+}
+
+}  // namespace
+
+// ---- Construction ----------------------------------------------------------
+
+EntryControl::EntryControl(asio::io_context& io,
+                           EntryShared& shared,
+                           const std::string& peer_key)
+    : m_io(io),
+      m_shared(shared),
+      m_frames(MakeFrameOptions(shared, peer_key)),
+      m_leader(io, m_frames, shared.m_settings.m_control),
+      m_claims(io, m_leader),
+      m_state(std::make_shared<const FeedState>()),
+      m_lookup(std::make_shared<const lookup::Table>()),
+      m_registry(membership::RegistryLimits{}),
+      m_holder(shared.m_settings.m_host, shared.m_incarnation),
+      m_peers(io, m_frames, shared.m_settings.m_host, m_registry, [this] {
+        RebuildLookup();
+        Publish();
+      }) {}
+
+EntryControl::~EntryControl() = default;
+
+bool EntryControl::HasControl() const {
+  return !m_shared.m_settings.m_control.empty();
+}
+
+Status EntryControl::Start(std::optional<Deployment> first) {
+  m_feed_server = std::make_unique<net::FeedServer>(
+      m_io,
+      net::FeedServerOptions{.m_origin_age =
+                                 [this] {
+                                   return m_feed_client
+                                              ? m_feed_client->OriginAge()
+                                              : milliseconds(0);
+                                 }},
+      m_statuses);
+  net::FrameDispatch handlers;
+  m_feed_server->Register(&handlers);
+  handlers.On<RegistryDelta>(
+      [this](const net::FrameSource&, const RegistryDelta& delta) {
+        m_peers.OnDelta(delta, MonoClock::now());
+        MarkDirty();
+      });
+  m_frame_server =
+      std::make_unique<net::FrameServer>(m_io, m_frames, std::move(handlers));
+  JUJUBE_TRY(m_frame_server->Start(m_shared.m_settings.m_peer));
+  m_feed_server->Start();
+  if (first) {
+    UseState(std::make_shared<const FeedState>(
+        feed::Canonical({.m_deployment = *std::move(first)})));
+  }
+  m_peers.Start();
+  if (HasControl()) {
+    const auto& parents = m_shared.m_settings.m_feed_parents;
+    m_feed_client = std::make_unique<net::FeedClient>(
+        m_io,
+        net::FeedClientOptions{.m_frames = m_frames,
+                               .m_host = m_shared.m_settings.m_host,
+                               .m_parents = parents.empty()
+                                                ? m_shared.m_settings.m_control
+                                                : parents},
+        m_statuses);
+    m_feed_client->OnState(
+        [this](const feed::Follower::State& state, const FeedChange* change) {
+          // A relay passes on what it received before it rebuilds its own
+          // tables.
+          const Status published = change != nullptr
+                                       ? m_feed_server->Publish(state, *change)
+                                       : m_feed_server->Publish(state);
+          if (published)
+            UseState(state);
+        });
+    m_feed_client->Start();
+    m_leader.Start();
+    asio::co_spawn(m_io, RenewLoop(), asio::detached);
+  }
+  asio::co_spawn(m_io, TickLoop(), asio::detached);
+  return Success();
+}
+
+void EntryControl::Stop() {
+  m_is_stopped = true;
+  m_peers.Stop();
+  m_leader.Stop();
+  if (m_feed_client)
+    m_feed_client->Stop();
+  if (m_frame_server)
+    m_frame_server->Stop();
+  if (m_feed_server)
+    m_feed_server->Stop();
+}
+
+// ---- Configuration ---------------------------------------------------------
+
+void EntryControl::UseState(std::shared_ptr<const FeedState> state) {
+  m_state = std::move(state);
+  m_peers.SetPeers(m_state->m_deployment);
+  RebuildLookup();
+  TrackLimits();
+  Publish();
+  observe::GaugeOf(Metric::kConfigIndex)
+      .Set(static_cast<std::int64_t>(m_state->m_index));
+}
+
+std::vector<Drain> EntryControl::DrainsInForce() const {
+  std::vector<Drain> drains = m_state->m_drains;
+  for (const HostId& host : m_peers.LeavingHosts())
+    drains.push_back({.m_kind = DrainKind::kEntryHost, .m_name = host.m_value});
+  return drains;
+}
+
+void EntryControl::RebuildLookup() {
+  Result<lookup::Table> table =
+      lookup::Table::Build(m_state->m_deployment, DrainsInForce());
+  if (!table) {
+    observe::Log(
+        LogEvent::kDocumentUnusable,
+        {{"index", m_state->m_index}, {"error", table.error().m_message}});
+    return;
+  }
+  m_lookup = std::make_shared<const lookup::Table>(std::move(table).value());
+}
+
+// ---- Views -----------------------------------------------------------------
+
+void EntryControl::TrackLimits() {
+  if (!HasControl())
+    return;
+  const limits::Topology topology = limits::MakeTopology(m_state->m_deployment);
+  for (const limits::Cap& cap : topology.m_caps) {
+    if (cap.m_limit.m_kind != LimitKind::kShift)
+      m_holder.Track({.m_limit = cap.m_limit});
+  }
+  for (const membership::Member& member : m_registry.Snapshot().m_members) {
+    const Announcement& known = member.m_announcement;
+    m_holder.Track(
+        {.m_limit = limits::SlotLimit(known.m_service, known.m_instance),
+         .m_cap = known.m_slots,
+         .m_zone = known.m_availability_zone});
+  }
+}
+
+void EntryControl::Publish() {
+  m_is_dirty = false;
+  m_published_registry = m_registry.Version();
+  const std::vector<Drain> drains = DrainsInForce();
+  const membership::RegistrySnapshot snapshot = m_registry.Snapshot();
+  const steering::ViewInputs inputs{
+      .m_registry = snapshot,
+      .m_deployment = m_state->m_deployment,
+      .m_drains = drains,
+      .m_zone = m_shared.m_settings.m_availability_zone,
+      .m_grants = HasControl() ? std::optional(m_grants) : std::nullopt};
+  m_upstreams = std::make_shared<const steering::UpstreamView>(
+      steering::BuildView(inputs, m_counters));
+  auto view = std::make_unique<ServingView>();
+  view->m_index = m_state->m_index;
+  view->m_region =
+      RegionOf(m_state->m_deployment, m_shared.m_settings.m_availability_zone);
+  view->m_lookup = m_lookup;
+  view->m_upstreams = m_upstreams;
+  view->m_limits = HasControl() ? m_holder.Table() : nullptr;
+  view->m_is_refusing =
+      m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
+  const MonoTime now = MonoClock::now();
+  for (const steering::ServiceUpstreams& service : m_upstreams->m_services)
+    view->m_host_cap += steering::CountSlots(service, now).m_usable;
+  m_shared.m_view.Publish(std::move(view));
+  m_counters.Prune();
+}
+
+// ---- Ticks -----------------------------------------------------------------
+
+void EntryControl::OnAnnouncement(const Announcement& announcement) {
+  m_registry.Merge({.m_announcement = announcement}, MonoClock::now());
+}
+
+asio::awaitable<void> EntryControl::TickLoop() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    Tick(MonoClock::now());
+    timer.expires_after(kTick);
+    co_await timer.async_wait(kTuple);
+  }
+}
+
+void EntryControl::Tick(MonoTime now) {
+  for (const membership::InstanceKey& key : m_registry.Expire(now)) {
+    observe::Log(LogEvent::kInstanceExpired,
+                 {{"service", key.m_service.m_value},
+                  {"instance", key.m_instance.m_value}});
+    m_holder.Forget(limits::SlotLimit(key.m_service, key.m_instance));
+    MarkDirty();
+  }
+  if (m_registry.Version() != m_published_registry) {
+    TrackLimits();
+    MarkDirty();
+  }
+  for (const steering::ServiceUpstreams& service : m_upstreams->m_services) {
+    for (const steering::EjectionChange& change :
+         steering::EvaluateOutliers(service, {}, now)) {
+      if (change.m_kind == steering::EjectionChange::Kind::kEjected) {
+        observe::Log(LogEvent::kInstanceEjected,
+                     {{"service", service.m_service.m_name.m_value},
+                      {"instance", change.m_instance.m_value}});
+      }
+    }
+  }
+  AdvanceDrain(now);
+  if (m_is_dirty)
+    Publish();
+}
+
+// ---- Allotments ------------------------------------------------------------
+
+asio::awaitable<void> EntryControl::RenewLoop() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    const MonoTime started = MonoClock::now();
+    co_await RenewOnce();
+    timer.expires_after(std::max<MonoClock::duration>(
+        kRenewInterval - (MonoClock::now() - started), kTick));
+    co_await timer.async_wait(kTuple);
+  }
+}
+
+asio::awaitable<void> EntryControl::RenewOnce() {
+  const MonoTime now = MonoClock::now();
+  AllotmentRequest request = m_holder.NextRequest(m_state->m_index, now);
+  const std::optional<AllotmentReply> reply =
+      co_await m_leader.Call<AllotmentReply>(std::move(request),
+                                             now + kRenewTimeout);
+  if (!reply || !m_holder.OnReply(*reply))
+    co_return;
+  m_grants = ReadSlotGrants(*reply, m_holder.LeaseEnd());
+  MarkDirty();
+}
+
+// ---- Planned stop ----------------------------------------------------------
+
+void EntryControl::StartDrain(std::function<void()> done) {
+  if (m_drain)
+    return;
+  m_on_drained = std::move(done);
+  m_drain = request::StartDrain(MonoClock::now());
+  m_peers.SetLeaving();
+  observe::Log(LogEvent::kDrainStarted, {});
+}
+
+request::DrainLimits EntryControl::LimitsOfDrain() const {
+  request::DrainLimits limits{.m_lookup_lifetime = milliseconds(0),
+                              .m_requests = m_shared.m_settings.m_drain_limit};
+  for (const Service& service : m_state->m_deployment.m_services) {
+    limits.m_lookup_lifetime =
+        std::max(limits.m_lookup_lifetime, service.m_lookup_lifetime);
+  }
+  return limits;
+}
+
+void EntryControl::AdvanceDrain(MonoTime now) {
+  if (!m_drain || m_drain->m_phase == request::DrainPhase::kDone)
+    return;
+  const request::DrainPhase before = m_drain->m_phase;
+  m_drain = request::Advance(
+      *m_drain,
+      {.m_now = now,
+       .m_is_omitted_everywhere = m_peers.IsOmittedEverywhere(now),
+       .m_in_progress = m_shared.m_in_progress.load()},
+      LimitsOfDrain());
+  if (m_drain->m_phase == before)
+    return;
+  MarkDirty();
+  observe::Log(LogEvent::kHostDrainStep,
+               {{"phase", request::ToString(m_drain->m_phase)}});
+  if (m_drain->m_phase == request::DrainPhase::kDone)
+    m_on_drained();
+}
+
+bool EntryControl::WasCutShort() const {
+  return m_drain && m_drain->m_is_cut_short;
+}
+
+// ---- Status ----------------------------------------------------------------
+
+EntryStatus EntryControl::CurrentStatus() const {
+  const MonoTime now = MonoClock::now();
+  EntryStatus status{
+      .m_host = m_shared.m_settings.m_host,
+      .m_incarnation = m_shared.m_incarnation,
+      .m_index = m_state->m_index,
+      .m_number = m_state->m_deployment.m_number,
+      .m_feed_connected = m_feed_client && m_feed_client->IsConnected(),
+      .m_feed_age =
+          m_feed_client ? m_feed_client->OriginAge() : milliseconds(0),
+      .m_lease_left = std::max(
+          milliseconds(0),
+          std::chrono::duration_cast<milliseconds>(m_holder.LeaseEnd() - now)),
+      .m_in_progress = m_shared.m_in_progress.load(),
+      .m_phase = m_drain ? std::string(request::ToString(m_drain->m_phase))
+                         : "serving",
+      .m_omitted = m_peers.LeavingHosts()};
+  for (const steering::ServiceUpstreams& service : m_upstreams->m_services) {
+    const steering::SlotTotals slots = steering::CountSlots(service, now);
+    status.m_services.push_back(
+        {.m_service = service.m_service.m_name,
+         .m_instances = static_cast<std::uint32_t>(service.m_upstreams.size()),
+         .m_usable_slots = slots.m_usable,
+         .m_slots_in_use = slots.m_in_use});
+  }
+  return status;
+}
+
+}  // namespace jujube::entry
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -20,13 +20,13 @@
               ServingView first);
 
   const EntrySettings m_settings;
-  const std::uint64_t m_incarnation;   // grows with each start of the daemon
-  rcu::Cell<ServingView> m_view;       // published by the control thread
-  std::atomic<std::uint32_t> m_in_progress = 0;  // requests being carried
+  const std::uint64_t m_incarnation;  // grows with each start of the daemon
+  rcu::Cell<ServingView> m_view;      // published by the control thread
+  std::atomic<std::uint32_t> m_in_progress = 0;   // requests being carried
   std::atomic<std::uint64_t> m_next_attempt = 1;  // numbers claims
 
   observe::Counter& m_lookups;
-  observe::Counter& m_not_run;         // requests by verdict
+  observe::Counter& m_not_run;  // requests by verdict
   observe::Counter& m_ran;
   observe::Counter& m_may_have_run;
   observe::Gauge& m_in_progress_gauge;
--- a/src/entry/forwarder.cc
+++ b/src/entry/forwarder.cc
@@ -91,8 +91,7 @@
 
 asio::awaitable<void> Replay(net::HttpExchange& exchange,
                              const StoredAnswer& answer) {
-  ResponseHead head{.m_status = answer.m_status,
-                    .m_headers = answer.m_headers};
+  ResponseHead head{.m_status = answer.m_status, .m_headers = answer.m_headers};
   head.m_headers.push_back({"Jujube-Replayed", "yes"});
   co_await exchange.Respond(std::move(head), answer.m_body);
 }
@@ -103,27 +102,27 @@
 
 struct Forwarder::Request {
   Route m_route;
-  Service m_service;                        // policy, as of admission
-  Weights m_weights;                        // of the deployment
-  RegionId m_region;                        // of this host
+  Service m_service;  // policy, as of admission
+  Weights m_weights;  // of the deployment
+  RegionId m_region;  // of this host
   std::shared_ptr<steering::RetryBudget> m_budget;
   request::Deadline m_deadline;
   MonoTime m_received;
   bool m_is_repeatable = true;
   bool m_is_claimed = false;
-  std::uint64_t m_attempt_number = 0;       // of the claim
+  std::uint64_t m_attempt_number = 0;  // of the claim
   OutgoingRequest m_outgoing;
   std::vector<InstanceId> m_tried;
   std::uint32_t m_attempts = 0;
-  Verdict m_verdict = Verdict::kNotRun;     // of all attempts
+  Verdict m_verdict = Verdict::kNotRun;  // of all attempts
   limits::Permit m_region_permit;
 
   // Verdict of a refusal before the store of claims was asked. An earlier
   // attempt with the same key may have run through another entry host; only a
   // caller that sends the first one can be told "not run".
   Verdict UnclaimedVerdict() const {
-    const bool is_known = m_is_repeatable || m_is_claimed ||
-                          m_route.m_is_first_attempt;
+    const bool is_known =
+        m_is_repeatable || m_is_claimed || m_route.m_is_first_attempt;
     return is_known ? Verdict::kNotRun : Verdict::kMayHaveRun;
   }
 };
@@ -140,9 +139,8 @@
 asio::awaitable<void> Forwarder::Handle(net::HttpExchange& exchange) {
   Result<Route> route = ParseRoute(exchange.Head());
   if (!route) {
-    co_await Refuse(exchange,
-                    {.m_status = StatusOf(route.error().m_code),
-                     .m_reason = route.error().m_message});
+    co_await Refuse(exchange, {.m_status = StatusOf(route.error().m_code),
+                               .m_reason = route.error().m_message});
     co_return;
   }
   Request request;
@@ -158,7 +156,8 @@
   m_shared.m_in_progress.fetch_add(1, std::memory_order_relaxed);
   m_shared.m_in_progress_gauge.Add(1);
   try {
-    const std::optional<Refusal> bad_body = co_await ReadBody(exchange, request);
+    const std::optional<Refusal> bad_body =
+        co_await ReadBody(exchange, request);
     if (bad_body)
       co_await Refuse(exchange, *bad_body);
     else if (request.m_is_repeatable || co_await Claim(exchange, request))
@@ -196,9 +195,9 @@
   const steering::ServiceUpstreams* service =
       steering::FindService(*view.m_upstreams, request.m_route.m_service);
   if (service == nullptr) {
-    return Refusal{.m_status = 404,
-                   .m_reason = "there is no service " +
-                               request.m_route.m_service.m_value};
+    return Refusal{
+        .m_status = 404,
+        .m_reason = "there is no service " + request.m_route.m_service.m_value};
   }
   request.m_service = service->m_service;
   request.m_budget = service->m_budget;
@@ -400,8 +399,7 @@
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
        .m_attempts = request.m_attempts,
-       .m_remaining =
-           request::Remaining(request.m_deadline, MonoClock::now())},
+       .m_remaining = request::Remaining(request.m_deadline, MonoClock::now())},
       request.m_service.m_retry_budget_permille, *request.m_budget);
   return answer == steering::RetryAnswer::kRetry;
 }
@@ -431,10 +429,9 @@
   co_await Refuse(exchange, refusal);
 }
 
-asio::awaitable<void> Forwarder::RespondToFailure(
-    net::HttpExchange& exchange,
-    Request& request,
-    const AttemptResult& result) {
+asio::awaitable<void> Forwarder::RespondToFailure(net::HttpExchange& exchange,
+                                                  Request& request,
+                                                  const AttemptResult& result) {
   Finish(request, std::nullopt);
   const request::FailureDecision decision = request::Decide(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
--- a/src/entry/leader_client.cc
+++ b/src/entry/leader_client.cc
@@ -30,9 +30,8 @@
   // Another call may have found the leader meanwhile.
   if (m_leader != asked)
     return;
-  const auto known =
-      hint ? std::find(m_control.begin(), m_control.end(), *hint)
-           : m_control.end();
+  const auto known = hint ? std::find(m_control.begin(), m_control.end(), *hint)
+                          : m_control.end();
   const auto position =
       static_cast<std::size_t>(std::distance(m_control.begin(), known));
   const bool is_new = known != m_control.end() && position != asked;
--- a/src/entry/leader_client.h
+++ b/src/entry/leader_client.h
@@ -58,8 +58,8 @@
       const std::size_t asked = m_leader;
       const MonoTime limit =
           std::min(deadline, MonoClock::now() + kAttemptTimeout);
-      const net::CallResult<Reply> result = co_await net::Call<Reply>(
-          *m_clients[asked], request, limit);
+      const net::CallResult<Reply> result =
+          co_await net::Call<Reply>(*m_clients[asked], request, limit);
       if (result && !SaysNotLeader(*result.m_reply))
         co_return *result.m_reply;
       std::optional<Endpoint> hint;
--- a/src/entry/link_pacer.cc
+++ b/src/entry/link_pacer.cc
@@ -26,9 +26,8 @@
                                       MonoTime deadline) const {
   if (m_is_local || bytes == 0)
     co_return true;
-  const LimitId& limit = direction == LinkDirection::kToUpstream
-                             ? m_to_upstream
-                             : m_from_upstream;
+  const LimitId& limit =
+      direction == LinkDirection::kToUpstream ? m_to_upstream : m_from_upstream;
   while (true) {
     limits::SpendResult spent{.m_allowed = true};
     {
@@ -42,9 +41,9 @@
     const MonoTime now = MonoClock::now();
     if (spent.m_retry_at >= deadline || now >= deadline)
       co_return false;
-    asio::steady_timer timer(co_await asio::this_coro::executor,
-                             std::max(spent.m_retry_at - now,
-                                      MonoClock::duration::zero()));
+    asio::steady_timer timer(
+        co_await asio::this_coro::executor,
+        std::max(spent.m_retry_at - now, MonoClock::duration::zero()));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- /dev/null
+++ b/src/entry/operator_handler.h
@@ -0,0 +1,32 @@
+// OperatorHandler: GET /healthz, /metrics and /status, and POST /drain.
+
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "gen/status.h"
+#include "net/http_exchange.h"
+
+namespace jujube::entry {
+
+class OperatorHandler {
+ public:
+  OperatorHandler(std::string key,
+                  std::function<EntryStatus()> status,
+                  std::function<void()> drain)
+      : m_key(std::move(key)),
+        m_status(std::move(status)),
+        m_drain(std::move(drain)) {}
+
+  boost::asio::awaitable<void> Handle(net::HttpExchange& exchange) const;
+
+ private:
+  const std::string m_key;
+  const std::function<EntryStatus()> m_status;
+  const std::function<void()> m_drain;
+};
+
+}  // namespace jujube::entry
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -23,7 +23,7 @@
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
   std::shared_ptr<const limits::LimitTable> m_limits;  // null: none enforced
   std::uint32_t m_host_cap = 0;  // slots of all services that this host may use
-  bool m_is_refusing = false;  // planned stop: new requests are refused
+  bool m_is_refusing = false;    // planned stop: new requests are refused
 };
 
 }  // namespace jujube::entry
