--- /dev/null
+++ b/tests/unit/sample_deployment.h
@@ -0,0 +1,38 @@
+// Documents for the tests of several modules.
+
+#pragma once
+
+#include <string>
+
+#include "gen/deployment.h"
+
+namespace jujube::testing {
+
+inline EntryHost SampleHost(const std::string& name,
+                            const std::string& zone,
+                            std::uint16_t port) {
+  return {.m_name = {name},
+          .m_availability_zone = {zone},
+          .m_caller = {.m_port = port},
+          .m_peer = {.m_port = static_cast<std::uint16_t>(port + 1)}};
+}
+
+// Two regions with a zone each, a link of 1000 kbit/s, three entry hosts.
+inline Deployment SampleDeployment(std::uint64_t number = 1) {
+  return {
+      .m_number = number,
+      .m_name = "sample",
+      .m_regions = {{{"luzon"}, 40}, {{"visayas"}, 40}},
+      .m_availability_zones = {{{"luz-a"}, {"luzon"}},
+                               {{"vis-a"}, {"visayas"}}},
+      .m_links = {{{"luzon"}, {"visayas"}, 1000}},
+      .m_sites = {{{"depot-1"}, {"luz-a"}}, {{"depot-2"}, {"vis-a"}}},
+      .m_entry_hosts = {SampleHost("e1", "luz-a", 7001),
+                        SampleHost("e2", "luz-a", 7011),
+                        SampleHost("e3", "vis-a", 7021)},
+      .m_services = {{.m_name = {"pumplog"},
+                      .m_non_repeatable_methods = {"POST"}}},
+      .m_blocks = {{"10.1.0.0/16", {"depot-1"}}, {"10.2.0.0/16", {"depot-2"}}}};
+}
+
+}  // namespace jujube::testing
