--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -75,6 +75,11 @@
     case LogEvent::kHostDrainCutShort:
       return {441, LogLevel::kWarning, "HostDrainCutShort",
               "drain ended with requests in progress"};
+    case LogEvent::kDocumentUnusable:
+      return {500, LogLevel::kError, "DocumentUnusable",
+              "document in force cannot be used for look-ups"};
+    case LogEvent::kDrainStarted:
+      return {501, LogLevel::kInfo, "DrainStarted", "planned stop started"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -38,6 +38,8 @@
   kShiftHeld = 431,            // shift held
   kHostDrainStep = 440,        // drain of this entry host advanced
   kHostDrainCutShort = 441,    // drain ended with requests in progress
+  kDocumentUnusable = 500,     // document in force cannot be used for look-ups
+  kDrainStarted = 501,         // planned stop started
 };
 
 struct LogEventInfo {
