--- a/src/gen/allotments.h
+++ b/src/gen/allotments.h
@@ -43,6 +43,9 @@
   LimitId m_limit;          // the cap
   std::uint64_t m_cap = 0;  // size of the cap as announced, for limits that the
                             // document does not name
+  AvailabilityZoneId
+      m_availability_zone;     // availability zone of the instance, for limits
+                               // that the document does not name
   std::uint64_t m_in_use = 0;  // in use now
   std::uint64_t m_wanted = 0;  // wanted for the next lease
 
@@ -64,6 +67,8 @@
   HostId m_host;                    // entry host
   std::uint64_t m_incarnation = 0;  // its incarnation
   std::uint64_t m_sequence = 0;     // grows with each request of an incarnation
+  std::uint64_t m_adopted =
+      0;  // sequence of the last reply that it put in force; 0 for none
   std::uint64_t m_index_in_force = 0;  // feed index that it runs
   std::vector<AllotmentDemand>
       m_demands;  // a line for each cap (at most 8192 elements)
--- a/src/gen/allotments_serialize.h
+++ b/src/gen/allotments_serialize.h
@@ -19,7 +19,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, AllotmentDemand& value) {
-  archive(value.m_limit, value.m_cap, value.m_in_use, value.m_wanted);
+  archive(value.m_limit, value.m_cap, value.m_availability_zone, value.m_in_use,
+          value.m_wanted);
 }
 
 template <class Archive>
@@ -29,7 +30,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, AllotmentRequest& value) {
-  archive(value.m_host, value.m_incarnation, value.m_sequence,
+  archive(value.m_host, value.m_incarnation, value.m_sequence, value.m_adopted,
           value.m_index_in_force, wire::Bounded(value.m_demands, 8192));
 }
 
--- a/src/gen/claims.cc
+++ b/src/gen/claims.cc
@@ -7,9 +7,9 @@
 namespace jujube {
 
 std::string_view ToString(ClaimOutcome value) {
-  static constexpr std::array<std::string_view, 8> kNames = {
-      "Granted",  "Finished",  "InProgress", "MayHaveRun",
-      "Conflict", "StoreFull", "BadKey",     "NotLeader"};
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "Granted",   "Finished", "InProgress", "MayHaveRun", "Conflict",
+      "StoreFull", "BadKey",   "NotLeader",  "StaleHost"};
   const auto index = static_cast<std::size_t>(value);
   return index < kNames.size() ? kNames[index] : "invalid";
 }
--- a/src/gen/claims.h
+++ b/src/gen/claims.h
@@ -46,6 +46,8 @@
   kStoreFull,   // no room for a new claim; not run
   kBadKey,      // the key is malformed or issued in the future; not run
   kNotLeader,   // ask the host in the hint; not run by this attempt
+  kStaleHost,  // a newer incarnation of the entry host is registered, or it was
+               // removed; not run
 };
 
 // Name of a value as it stands in JSON and logs, such as "Granted".
@@ -57,6 +59,8 @@
   std::uint64_t m_incarnation = 0;  // incarnation of the entry host
   ServiceId m_service;              // service of the request
   std::string m_key;                // Idempotency-Key (at most 200)
+  std::uint64_t m_attempt =
+      0;                 // number of the attempt, unique within the incarnation
   std::string m_digest;  // digest of method, target and body (at most 32)
 
   friend auto operator<=>(const ClaimRequest&, const ClaimRequest&) = default;
@@ -74,10 +78,12 @@
 
 // Reports the outcome of a granted claim.
 struct ClaimFinish {
-  HostId m_host;                         // entry host that held the claim
-  std::uint64_t m_incarnation = 0;       // incarnation of the entry host
-  ServiceId m_service;                   // service of the request
-  std::string m_key;                     // Idempotency-Key (at most 200)
+  HostId m_host;                    // entry host that held the claim
+  std::uint64_t m_incarnation = 0;  // incarnation of the entry host
+  ServiceId m_service;              // service of the request
+  std::string m_key;                // Idempotency-Key (at most 200)
+  std::uint64_t m_attempt =
+      0;  // number of the attempt, unique within the incarnation
   Verdict m_verdict = Verdict::kNotRun;  // NotRun frees the key
   std::optional<StoredAnswer> m_answer;  // answer to store, with Ran
 
--- a/src/gen/claims_json.cc
+++ b/src/gen/claims_json.cc
@@ -31,7 +31,7 @@
                const JsonPath& path,
                Problems& problems,
                ClaimOutcome& value) {
-  ParseEnum(json, path, problems, 8, value);
+  ParseEnum(json, path, problems, 9, value);
 }
 
 boost::json::value ToJson(const ClaimOutcome& value) {
--- a/src/gen/claims_serialize.h
+++ b/src/gen/claims_serialize.h
@@ -26,19 +26,20 @@
 template <class Archive>
 void serialize(Archive& archive, ClaimRequest& value) {
   archive(value.m_host, value.m_incarnation, value.m_service,
-          wire::Bounded(value.m_key, 200), wire::Bounded(value.m_digest, 32));
+          wire::Bounded(value.m_key, 200), value.m_attempt,
+          wire::Bounded(value.m_digest, 32));
 }
 
 template <class Archive>
 void serialize(Archive& archive, ClaimReply& value) {
-  archive(wire::Checked(value.m_outcome, 8), value.m_answer, value.m_leader);
+  archive(wire::Checked(value.m_outcome, 9), value.m_answer, value.m_leader);
 }
 
 template <class Archive>
 void serialize(Archive& archive, ClaimFinish& value) {
   archive(value.m_host, value.m_incarnation, value.m_service,
-          wire::Bounded(value.m_key, 200), wire::Checked(value.m_verdict, 3),
-          value.m_answer);
+          wire::Bounded(value.m_key, 200), value.m_attempt,
+          wire::Checked(value.m_verdict, 3), value.m_answer);
 }
 
 template <class Archive>
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -15,6 +15,41 @@
     case LogEvent::kFrameRefused:
       return {110, LogLevel::kWarning, "FrameRefused",
               "frame from a peer refused"};
+    case LogEvent::kDocumentAccepted:
+      return {300, LogLevel::kInfo, "DocumentAccepted", "document accepted"};
+    case LogEvent::kDocumentConflict:
+      return {301, LogLevel::kWarning, "DocumentConflict",
+              "document conflicts with an accepted one"};
+    case LogEvent::kDocumentRefused:
+      return {302, LogLevel::kWarning, "DocumentRefused", "document refused"};
+    case LogEvent::kDocumentBaseChanged:
+      return {303, LogLevel::kInfo, "DocumentBaseChanged",
+              "document proposed on an old base"};
+    case LogEvent::kDrainChanged:
+      return {310, LogLevel::kInfo, "DrainChanged", "drain set or cleared"};
+    case LogEvent::kDrainRefused:
+      return {311, LogLevel::kWarning, "DrainRefused", "drain refused"};
+    case LogEvent::kEntryHostRegistered:
+      return {320, LogLevel::kInfo, "EntryHostRegistered",
+              "entry host registered"};
+    case LogEvent::kEntryHostLost:
+      return {321, LogLevel::kWarning, "EntryHostLost",
+              "entry host lost its lease"};
+    case LogEvent::kEntryHostRemoved:
+      return {322, LogLevel::kInfo, "EntryHostRemoved", "entry host removed"};
+    case LogEvent::kClaimStoreFull:
+      return {330, LogLevel::kError, "ClaimStoreFull", "claim store full"};
+    case LogEvent::kClaimConflict:
+      return {331, LogLevel::kWarning, "ClaimConflict",
+              "key used with another request"};
+    case LogEvent::kCapPending:
+      return {340, LogLevel::kWarning, "CapPending",
+              "lowered cap not in force yet"};
+    case LogEvent::kCommandRefused:
+      return {350, LogLevel::kError, "CommandRefused",
+              "command cannot be decoded"};
+    case LogEvent::kSnapshotRefused:
+      return {351, LogLevel::kError, "SnapshotRefused", "snapshot refused"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -13,10 +13,24 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 enum class LogEvent : std::uint16_t {
-  kStarted = 100,          // process started
-  kStopped = 101,          // process stopped
-  kSettingsRefused = 102,  // settings refused
-  kFrameRefused = 110,     // frame from a peer refused
+  kStarted = 100,              // process started
+  kStopped = 101,              // process stopped
+  kSettingsRefused = 102,      // settings refused
+  kFrameRefused = 110,         // frame from a peer refused
+  kDocumentAccepted = 300,     // document accepted
+  kDocumentConflict = 301,     // document conflicts with an accepted one
+  kDocumentRefused = 302,      // document refused
+  kDocumentBaseChanged = 303,  // document proposed on an old base
+  kDrainChanged = 310,         // drain set or cleared
+  kDrainRefused = 311,         // drain refused
+  kEntryHostRegistered = 320,  // entry host registered
+  kEntryHostLost = 321,        // entry host lost its lease
+  kEntryHostRemoved = 322,     // entry host removed
+  kClaimStoreFull = 330,       // claim store full
+  kClaimConflict = 331,        // key used with another request
+  kCapPending = 340,           // lowered cap not in force yet
+  kCommandRefused = 350,       // command cannot be decoded
+  kSnapshotRefused = 351,      // snapshot refused
 };
 
 struct LogEventInfo {
