Apply commands to the replicated control state

Cause: configuration, drains, claims and allotments have to survive the loss of a minority and be the same on every replica. Change: control::StateMachine applies encoded commands in log order without reading a clock. Documents are recognised by number and digest, and a difference made from another base is refused.

--- /dev/null
+++ b/src/control/configuration.h
@@ -0,0 +1,62 @@
+// The document in force, its history and the drains.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "gen/control.h"
+#include "gen/feed.h"
+
+namespace jujube::control {
+
+// Accepted documents that are remembered, the current one included. A resent or
+// conflicting document is recognised as long as its number is among them; a day
+// at the larger size has 940 changes.
+inline constexpr std::size_t kMaxHistory = 1000;
+
+class Configuration {
+ public:
+  Configuration();
+
+  // `head` without the parts of other modules, `blocks` sorted by prefix.
+  Configuration(const ControlSnapshotHead& head,
+                std::vector<CallerBlock> blocks);
+
+  // What can be answered without a command: nothing if the document is new.
+  std::optional<ApplyAnswer> Recall(std::uint64_t number,
+                                    const std::string& digest) const;
+
+  // The document changed if FeedIndex() did.
+  ApplyAnswer Apply(const ApplyCommand& command,
+                    std::uint64_t index,
+                    std::uint64_t time);
+  DrainAnswer Drain(const DrainCommand& command, std::uint64_t index);
+
+  // Whole document, canonical (config/digest.h). Number 0 before the first one.
+  const Deployment& Document() const { return *m_document; }
+  std::uint64_t DocumentIndex() const { return m_document_index; }
+  std::uint64_t FeedIndex() const { return m_feed_index; }
+  const std::vector<jujube::Drain>& Drains() const { return m_drains; }
+  const std::vector<HistoryEntry>& History() const { return m_history; }
+  bool HasEntryHost(const HostId& host) const;
+
+  friend bool operator==(const Configuration& a, const Configuration& b) {
+    return *a.m_document == *b.m_document && a.m_drains == b.m_drains &&
+           a.m_history == b.m_history &&
+           a.m_document_index == b.m_document_index &&
+           a.m_feed_index == b.m_feed_index;
+  }
+
+ private:
+  // Shared, so that a copy of the state for a snapshot is cheap.
+  std::shared_ptr<const Deployment> m_document;
+  std::vector<jujube::Drain> m_drains;  // sorted
+  std::vector<HistoryEntry> m_history;  // oldest first
+  std::uint64_t m_document_index = 0;
+  std::uint64_t m_feed_index = 0;
+};
+
+}  // namespace jujube::control
--- /dev/null
+++ b/src/control/snapshot.h
@@ -0,0 +1,68 @@
+// Snapshots of the state machine in bounded pieces.
+//
+//   SnapshotWriter writer(state);               // copies; `state` may go on
+//   while (auto piece = writer.Next())
+//     ...                                       // store or send *piece
+//
+//   SnapshotLoader loader;
+//   for (...) JUJUBE_TRY(loader.Add(piece));    // in order
+//   JUJUBE_TRY(StateMachine state, loader.Finish());
+//
+// Equal states give equal bytes, so two replicas can compare their snapshots by
+// a checksum. A piece holds kPieceBytes and at most one element more; the
+// largest element is a claim with a stored answer of 1 MiB.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "control/state_machine.h"
+#include "core/result.h"
+
+namespace jujube::control {
+
+inline constexpr std::size_t kPieceBytes = std::size_t{256} * 1024;
+
+class SnapshotWriter {
+ public:
+  explicit SnapshotWriter(const StateMachine& state);
+  SnapshotWriter(const SnapshotWriter&) = delete;
+  SnapshotWriter& operator=(const SnapshotWriter&) = delete;
+
+  // The next piece, or nothing after the last one.
+  std::optional<std::string> Next();
+
+ private:
+  ControlSnapshotHead MakeHead() const;
+
+  const StateMachine m_state;
+  const std::vector<LedgerLine> m_lines;
+  std::uint64_t m_number = 0;
+  std::size_t m_next_block = 0;
+  ClaimStore::Records::const_iterator m_next_claim;
+  std::size_t m_next_line = 0;
+  bool m_done = false;
+};
+
+class SnapshotLoader {
+ public:
+  // Adds the next piece. After an error the loader cannot be used any more.
+  Status Add(std::string_view piece);
+
+  // The state, once the last piece was added.
+  Result<StateMachine> Finish();
+
+ private:
+  std::uint64_t m_next_number = 0;
+  bool m_complete = false;
+  ControlSnapshotHead m_head;
+  std::vector<CallerBlock> m_blocks;
+  std::vector<ClaimRecord> m_claims;
+  std::vector<LedgerLine> m_lines;
+};
+
+}  // namespace jujube::control
