--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -152,6 +152,25 @@
   friend auto operator<=>(const TimeoutNow&, const TimeoutNow&) = default;
 };
 
+// Position of a snapshot and membership at that position.
+struct SnapshotInfo {
+  std::uint64_t m_last_index = 0;  // index that the snapshot covers
+  std::uint64_t m_last_term = 0;   // term of that index
+  Voters m_voters;                 // membership at that index
+
+  friend auto operator<=>(const SnapshotInfo&, const SnapshotInfo&) = default;
+};
+
+// Identity of a data folder.
+struct FolderIdentity {
+  std::uint64_t m_folder =
+      0;  // random identity made when the folder was created
+  std::uint64_t m_starts = 0;  // number of starts, this one included
+
+  friend auto operator<=>(const FolderIdentity&,
+                          const FolderIdentity&) = default;
+};
+
 // First frame of a control host on a connection.
 struct Introduction {
   VoterId m_replica;           // the sender
@@ -161,4 +180,12 @@
   friend auto operator<=>(const Introduction&, const Introduction&) = default;
 };
 
+// Highest start count seen from each replica.
+struct PeerStarts {
+  std::vector<Introduction>
+      m_peers;  // one element for each replica (at most 256 elements)
+
+  friend auto operator<=>(const PeerStarts&, const PeerStarts&) = default;
+};
+
 }  // namespace jujube
--- a/src/gen/consensus_serialize.h
+++ b/src/gen/consensus_serialize.h
@@ -77,6 +77,21 @@
   archive(value.m_from, value.m_to, value.m_term);
 }
 
+template <class Archive>
+void serialize(Archive& archive, SnapshotInfo& value) {
+  archive(value.m_last_index, value.m_last_term, value.m_voters);
+}
+
+template <class Archive>
+void serialize(Archive& archive, FolderIdentity& value) {
+  archive(value.m_folder, value.m_starts);
+}
+
+template <class Archive>
+void serialize(Archive& archive, PeerStarts& value) {
+  archive(wire::Bounded(value.m_peers, 256));
+}
+
 template <class Archive>
 void serialize(Archive& archive, Introduction& value) {
   archive(value.m_replica, value.m_starts);
--- a/src/gen/consensus_wire.cc
+++ b/src/gen/consensus_wire.cc
@@ -95,6 +95,30 @@
   return wire::DecodeValue<TimeoutNow>(bytes, "TimeoutNow");
 }
 
+std::string Encode(const SnapshotInfo& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<SnapshotInfo> DecodeSnapshotInfo(std::string_view bytes) {
+  return wire::DecodeValue<SnapshotInfo>(bytes, "SnapshotInfo");
+}
+
+std::string Encode(const FolderIdentity& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<FolderIdentity> DecodeFolderIdentity(std::string_view bytes) {
+  return wire::DecodeValue<FolderIdentity>(bytes, "FolderIdentity");
+}
+
+std::string Encode(const PeerStarts& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<PeerStarts> DecodePeerStarts(std::string_view bytes) {
+  return wire::DecodeValue<PeerStarts>(bytes, "PeerStarts");
+}
+
 std::string Encode(const Introduction& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/consensus_wire.h
+++ b/src/gen/consensus_wire.h
@@ -45,6 +45,15 @@
 std::string Encode(const TimeoutNow& value);
 Result<TimeoutNow> DecodeTimeoutNow(std::string_view bytes);
 
+std::string Encode(const SnapshotInfo& value);
+Result<SnapshotInfo> DecodeSnapshotInfo(std::string_view bytes);
+
+std::string Encode(const FolderIdentity& value);
+Result<FolderIdentity> DecodeFolderIdentity(std::string_view bytes);
+
+std::string Encode(const PeerStarts& value);
+Result<PeerStarts> DecodePeerStarts(std::string_view bytes);
+
 std::string Encode(const Introduction& value);
 Result<Introduction> DecodeIntroduction(std::string_view bytes);
 
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -15,6 +15,51 @@
     case LogEvent::kFrameRefused:
       return {110, LogLevel::kWarning, "FrameRefused",
               "frame from a peer refused"};
+    case LogEvent::kStorageOpened:
+      return {200, LogLevel::kInfo, "StorageOpened", "data folder opened"};
+    case LogEvent::kTornTailTruncated:
+      return {201, LogLevel::kWarning, "TornTailTruncated",
+              "torn tail of the log truncated"};
+    case LogEvent::kLogCorrupt:
+      return {202, LogLevel::kError, "LogCorrupt", "stored data is corrupt"};
+    case LogEvent::kSyncFailed:
+      return {203, LogLevel::kError, "SyncFailed",
+              "sync to disk failed; the process ends"};
+    case LogEvent::kDiskFull:
+      return {204, LogLevel::kError, "DiskFull",
+              "disk full; proposals are refused"};
+    case LogEvent::kDiskHasSpace:
+      return {205, LogLevel::kInfo, "DiskHasSpace", "disk has space again"};
+    case LogEvent::kStorageFailed:
+      return {206, LogLevel::kError, "StorageFailed",
+              "storage operation failed"};
+    case LogEvent::kSnapshotWritten:
+      return {207, LogLevel::kInfo, "SnapshotWritten", "snapshot written"};
+    case LogEvent::kSnapshotInstalled:
+      return {208, LogLevel::kInfo, "SnapshotInstalled",
+              "snapshot from the leader installed"};
+    case LogEvent::kFolderInUse:
+      return {209, LogLevel::kError, "FolderInUse", "data folder is in use"};
+    case LogEvent::kBecameLeader:
+      return {220, LogLevel::kInfo, "BecameLeader", "became leader"};
+    case LogEvent::kBecameFollower:
+      return {221, LogLevel::kInfo, "BecameFollower", "became follower"};
+    case LogEvent::kElectionStarted:
+      return {222, LogLevel::kInfo, "ElectionStarted", "election started"};
+    case LogEvent::kQuorumLost:
+      return {223, LogLevel::kWarning, "QuorumLost",
+              "leader lost its quorum and stepped down"};
+    case LogEvent::kMembershipChanged:
+      return {224, LogLevel::kInfo, "MembershipChanged", "membership changed"};
+    case LogEvent::kForeignFolder:
+      return {225, LogLevel::kWarning, "ForeignFolder",
+              "message for another data folder dropped"};
+    case LogEvent::kOldFolderRefused:
+      return {226, LogLevel::kError, "OldFolderRefused",
+              "old copy of a data folder refused"};
+    case LogEvent::kLeadershipTransferred:
+      return {227, LogLevel::kInfo, "LeadershipTransferred",
+              "leadership transfer started"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -13,10 +13,28 @@
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 enum class LogEvent : std::uint16_t {
-  kStarted = 100,          // process started
-  kStopped = 101,          // process stopped
-  kSettingsRefused = 102,  // settings refused
-  kFrameRefused = 110,     // frame from a peer refused
+  kStarted = 100,                // process started
+  kStopped = 101,                // process stopped
+  kSettingsRefused = 102,        // settings refused
+  kFrameRefused = 110,           // frame from a peer refused
+  kStorageOpened = 200,          // data folder opened
+  kTornTailTruncated = 201,      // torn tail of the log truncated
+  kLogCorrupt = 202,             // stored data is corrupt
+  kSyncFailed = 203,             // sync to disk failed; the process ends
+  kDiskFull = 204,               // disk full; proposals are refused
+  kDiskHasSpace = 205,           // disk has space again
+  kStorageFailed = 206,          // storage operation failed
+  kSnapshotWritten = 207,        // snapshot written
+  kSnapshotInstalled = 208,      // snapshot from the leader installed
+  kFolderInUse = 209,            // data folder is in use
+  kBecameLeader = 220,           // became leader
+  kBecameFollower = 221,         // became follower
+  kElectionStarted = 222,        // election started
+  kQuorumLost = 223,             // leader lost its quorum and stepped down
+  kMembershipChanged = 224,      // membership changed
+  kForeignFolder = 225,          // message for another data folder dropped
+  kOldFolderRefused = 226,       // old copy of a data folder refused
+  kLeadershipTransferred = 227,  // leadership transfer started
 };
 
 struct LogEventInfo {
--- /dev/null
+++ b/src/storage/posix_disk.h
@@ -0,0 +1,52 @@
+// PosixDisk: a folder of the file system, held by one process at a time.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "storage/disk.h"
+
+namespace jujube::storage {
+
+class PosixDisk {
+ public:
+  // Creates the folder if it does not exist. Fails with kInUse if another
+  // process holds it.
+  static StorageResult<PosixDisk> Open(const std::string& folder);
+
+  PosixDisk(PosixDisk&& other) noexcept;
+  PosixDisk& operator=(PosixDisk&& other) noexcept;
+  PosixDisk(const PosixDisk&) = delete;
+  PosixDisk& operator=(const PosixDisk&) = delete;
+  ~PosixDisk();
+
+  StorageResult<std::vector<std::string>> List();
+  StorageResult<std::uint64_t> Size(const std::string& name);
+  StorageResult<std::string> Read(const std::string& name,
+                                  std::uint64_t offset,
+                                  std::uint64_t size);
+  StorageStatus Append(const std::string& name, std::string_view bytes);
+  StorageStatus Truncate(const std::string& name, std::uint64_t size);
+  StorageStatus Sync(const std::string& name);
+  StorageStatus Rename(const std::string& from, const std::string& to);
+  StorageStatus Remove(const std::string& name);
+  StorageStatus SyncFolder();
+
+ private:
+  PosixDisk() = default;
+  StorageResult<int> Descriptor(const std::string& name, bool create);
+  void Forget(const std::string& name);
+  void Close();
+
+  int m_folder = -1;                   // descriptor of the folder
+  int m_lock = -1;                     // descriptor of the lock file
+  std::map<std::string, int> m_files;  // open files
+};
+
+static_assert(Disk<PosixDisk>);
+
+}  // namespace jujube::storage
--- /dev/null
+++ b/src/storage/segment_name.cc
@@ -0,0 +1,21 @@
+#include "storage/segment_name.h"
+
+#include "storage/numbered_name.h"
+
+namespace jujube::storage {
+
+namespace {
+
+constexpr const char* kPrefix = "log-";
+
+}  // namespace
+
+std::string SegmentName(std::uint64_t number) {
+  return NumberedName(kPrefix, number);
+}
+
+std::optional<std::uint64_t> NumberOfSegment(const std::string& name) {
+  return NumberOfName(kPrefix, name);
+}
+
+}  // namespace jujube::storage
