Add the replica state machine of the replicated log

Cause: configuration, claims and allotments need a log that survives the loss of a minority of hosts.

--- /dev/null
+++ b/src/consensus/replica.cc
@@ -0,0 +1,253 @@
+// Events, persistence and application. The other parts of Replica are in
+// replica_election.cc, replica_leader.cc, replica_replication.cc and
+// replica_follower.cc.
+
+#include "consensus/replica.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "core/result.h"
+#include "gen/consensus_wire.h"
+
+namespace jujube::consensus {
+
+namespace {
+
+// Limit of LogEntry in the schema.
+constexpr std::size_t kMaxEntryBytes = 16U << 20U;
+
+std::uint64_t LastIndexOf(const RestoredState& restored) {
+  if (!restored.m_entries.empty())
+    return restored.m_entries.back().m_index;
+  return restored.m_snapshot ? restored.m_snapshot->m_last_index : 0;
+}
+
+}  // namespace
+
+Replica::Replica(VoterId self,
+                 const ReplicaOptions& options,
+                 const RestoredState& restored,
+                 MonoTime now)
+    : m_self(std::move(self)),
+      m_options(options),
+      m_now(now),
+      m_random(options.m_random_seed),
+      m_state(restored.m_state),
+      m_issued_state(restored.m_state),
+      m_log(0, 0),
+      m_membership(0, {}),
+      m_snapshot(restored.m_snapshot),
+      m_persists(LastIndexOf(restored)),
+      m_commit(0),
+      m_applied(0) {
+  if (m_snapshot) {
+    m_log.Reset(m_snapshot->m_last_index, m_snapshot->m_last_term);
+    m_membership =
+        MembershipLog(m_snapshot->m_last_index, m_snapshot->m_voters);
+    m_commit = m_snapshot->m_last_index;
+    m_applied = m_snapshot->m_last_index;
+  }
+  for (const LogEntry& entry : restored.m_entries)
+    AppendToLog(entry);
+  ResetElectionTimer();
+}
+
+Actions Replica::Step(MonoTime now, const Event& event) {
+  m_now = now;
+  // Before the event, so that a leader that was frozen acts on nothing.
+  CheckQuorum();
+  std::visit([this](const auto& one) { On(one); }, event);
+  Finish();
+  return std::exchange(m_actions, {});
+}
+
+MonoTime Replica::NextDeadline() const {
+  return m_role == Role::kLeader ? m_next_heartbeat : m_election_deadline;
+}
+
+SnapshotInfo Replica::AppliedInfo() const {
+  return {.m_last_index = m_applied,
+          .m_last_term = m_log.TermAt(m_applied).value_or(0),
+          .m_voters = m_membership.At(m_applied)};
+}
+
+ReplicaStatus Replica::Status() const {
+  return {.m_role = m_role,
+          .m_term = m_state.m_term,
+          .m_leader = m_leader,
+          .m_first_index = m_log.BaseIndex() + 1,
+          .m_last_index = m_log.LastIndex(),
+          .m_synced_index = m_persists.SyncedIndex(),
+          .m_commit_index = m_commit,
+          .m_applied_index = m_applied,
+          .m_voters = m_membership.Current()};
+}
+
+void Replica::On(const Tick& /*event*/) {
+  if (m_role == Role::kLeader) {
+    TickLeader();
+    return;
+  }
+  if (m_now < m_election_deadline)
+    return;
+  if (IsVoter(m_membership.Current(), m_self))
+    StartElection(true, false);
+  else
+    ResetElectionTimer();
+}
+
+void Replica::On(const Received& event) {
+  Dispatch(event.m_message);
+}
+
+// Tells a sender of an older term about the newer one, so that it steps down.
+void Replica::AnswerOldTerm(const Message& message) {
+  const bool from_leader = std::holds_alternative<AppendRequest>(message) ||
+                           std::holds_alternative<SnapshotChunk>(message);
+  if (from_leader) {
+    SendAfterSync(AppendReply{
+        .m_from = m_self, .m_to = SenderOf(message), .m_term = m_state.m_term});
+  }
+}
+
+void Replica::Dispatch(const Message& message) {
+  if (ReceiverOf(message) != m_self) {
+    m_actions.m_foreign = true;
+    return;
+  }
+  // A vote request raises the term only after further checks, and a granted
+  // pre-vote carries a term that nobody is in yet.
+  if (const auto* request = std::get_if<VoteRequest>(&message)) {
+    Handle(*request);
+    return;
+  }
+  const auto* vote = std::get_if<VoteReply>(&message);
+  const bool pre_vote_granted =
+      vote != nullptr && vote->m_pre_vote && vote->m_granted;
+  const std::uint64_t term = TermOf(message);
+  if (!pre_vote_granted && term > m_state.m_term)
+    BecomeFollower(term, std::nullopt);
+  if (term < m_state.m_term) {
+    AnswerOldTerm(message);
+    return;
+  }
+  std::visit([this](const auto& one) { Handle(one); }, message);
+}
+
+void Replica::On(const Propose& event) {
+  if (!ProposalsAreOpen(event.m_token))
+    return;
+  if (event.m_data.size() > kMaxEntryBytes) {
+    Refuse(event.m_token, ErrorCode::kInvalidInput,
+           "command has " + std::to_string(event.m_data.size()) +
+               " bytes, allowed are " + std::to_string(kMaxEntryBytes));
+    return;
+  }
+  const std::size_t waiting = m_log.BytesAfter(m_commit);
+  if (waiting + event.m_data.size() > m_options.m_max_uncommitted_bytes &&
+      waiting > 0) {
+    Refuse(event.m_token, ErrorCode::kUnavailable,
+           "too many bytes wait to be committed");
+    return;
+  }
+  AppendToLog({.m_index = m_log.LastIndex() + 1,
+               .m_term = m_state.m_term,
+               .m_kind = EntryKind::kCommand,
+               .m_data = event.m_data});
+  m_actions.m_accepted.push_back({.m_token = event.m_token,
+                                  .m_index = m_log.LastIndex(),
+                                  .m_term = m_state.m_term});
+  Replicate();
+}
+
+void Replica::On(const SyncDone& event) {
+  for (Message& message : m_persists.Done(event.m_number)) {
+    // A candidate's own vote counts once it is durable.
+    if (ReceiverOf(message) == m_self)
+      Dispatch(message);
+    else
+      Send(std::move(message));
+  }
+  AdvanceCommit();
+}
+
+void Replica::On(const StorageFull& event) {
+  m_storage_full = event.m_full;
+}
+
+void Replica::On(const SnapshotTaken& event) {
+  const std::uint64_t index = event.m_info.m_last_index;
+  if (m_snapshot && index <= m_snapshot->m_last_index)
+    return;
+  assert(index <= m_applied && "a snapshot covers only applied entries");
+  m_snapshot = event.m_info;
+  if (index <= m_options.m_entries_kept)
+    return;
+  const std::uint64_t base = index - m_options.m_entries_kept;
+  m_log.CompactTo(base);
+  m_membership.CompactTo(base);
+}
+
+void Replica::Send(Message message) {
+  m_actions.m_send.push_back(std::move(message));
+}
+
+void Replica::SendAfterSync(Message message) {
+  m_after_sync.push_back(std::move(message));
+}
+
+void Replica::AppendToLog(LogEntry entry) {
+  if (entry.m_kind == EntryKind::kVoters) {
+    auto voters = DecodeVoters(entry.m_data);
+    if (voters)
+      m_membership.Append(entry.m_index, std::move(voters).value());
+  }
+  m_log.Append(std::move(entry));
+}
+
+void Replica::TruncateLog(std::uint64_t index) {
+  assert(index > m_commit && "committed entries are never replaced");
+  m_log.TruncateFrom(index);
+  m_membership.TruncateFrom(index);
+  m_persists.TruncateFrom(index);
+}
+
+// Applies only entries that are durable here, so that a snapshot of the applied
+// state never runs ahead of the log on disk.
+void Replica::ApplyCommitted() {
+  const std::uint64_t end = std::min(m_commit, m_persists.SyncedIndex());
+  while (m_applied < end)
+    m_actions.m_apply.push_back(m_log.At(++m_applied));
+}
+
+void Replica::Finish() {
+  ApplyCommitted();
+  AnswerReads();
+  const bool state_changed = m_state != m_issued_state;
+  const std::uint64_t first = m_persists.NextIndex();
+  if (state_changed || first <= m_log.LastIndex()) {
+    Persist persist;
+    if (state_changed)
+      persist.m_state = m_state;
+    for (std::uint64_t index = first; index <= m_log.LastIndex(); ++index)
+      persist.m_entries.push_back(m_log.At(index));
+    persist.m_number = m_persists.Issue(m_log.LastIndex());
+    m_issued_state = m_state;
+    m_actions.m_persist = std::move(persist);
+  }
+  for (Message& message : std::exchange(m_after_sync, {})) {
+    if (m_persists.Idle())
+      Send(std::move(message));
+    else
+      m_persists.Hold(std::move(message));
+  }
+}
+
+void Replica::Refuse(std::uint64_t token, ErrorCode code, std::string message) {
+  m_actions.m_refused.push_back(
+      {.m_token = token, .m_error = MakeError(code, std::move(message))});
+}
+
+}  // namespace jujube::consensus
--- /dev/null
+++ b/src/consensus/restored_state.h
@@ -0,0 +1,21 @@
+// RestoredState: the durable state with which a Replica starts.
+
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+#include "gen/consensus.h"
+
+namespace jujube::consensus {
+
+struct RestoredState {
+  HardState m_state;
+  std::optional<SnapshotInfo> m_snapshot;  // also carries the membership
+  std::vector<LogEntry> m_entries;         // after the snapshot, without gaps
+
+  friend auto operator<=>(const RestoredState&, const RestoredState&) = default;
+};
+
+}  // namespace jujube::consensus
--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -176,6 +176,7 @@
   VoterId m_replica;           // the sender
   std::uint64_t m_starts = 0;  // start count of its data folder; a lower one
                                // than seen before is an old copy
+  bool m_founded = false;      // the folder holds a membership or log entries
 
   friend auto operator<=>(const Introduction&, const Introduction&) = default;
 };
--- a/src/gen/consensus_serialize.h
+++ b/src/gen/consensus_serialize.h
@@ -94,7 +94,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, Introduction& value) {
-  archive(value.m_replica, value.m_starts);
+  archive(value.m_replica, value.m_starts, value.m_founded);
 }
 
 }  // namespace jujube
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -83,6 +83,7 @@
 #include "storage/disk.h"
 #include "storage/log_store_options.h"
 #include "storage/recovered_log.h"
+#include "storage/term_runs.h"
 
 namespace jujube::storage {
 
@@ -110,9 +111,10 @@
   // The index must be above that of the newest snapshot.
   StorageStatus WriteSnapshot(const SnapshotInfo& info, std::string_view data);
 
-  // Starts over with an empty received snapshot.
-  StorageStatus BeginReceive();
-  StorageStatus AppendReceived(std::string_view data);
+  // Writes a part of a received snapshot. Drops what was written from the
+  // offset on, so a part can be repeated; offset 0 starts over. An offset after
+  // the end is refused.
+  StorageStatus WriteReceived(std::uint64_t offset, std::string_view data);
   // Durable when it returns. Also call it if the log holds newer entries.
   StorageStatus FinishReceive(const SnapshotInfo& info);
 
@@ -155,6 +157,7 @@
   // Snapshots
   StorageStatus PublishAndTrim(const std::string& temporary,
                                const SnapshotInfo& info);
+  StorageStatus RecordBase();
   StorageStatus DeleteCoveredSegments();
   StorageStatus DeleteOldSnapshots();
   // Remembers a failed sync.
@@ -167,7 +170,10 @@
   HardState m_state;                       // last one appended
   std::optional<SnapshotInfo> m_snapshot;  // newest
   std::map<std::uint64_t, Segment> m_segments;
+  TermRuns m_terms;             // terms of the live log
   bool m_base_pending = false;  // the log lacks a kBase record for m_snapshot
+  bool m_void_pending = false;  // that record makes earlier entries void
+  bool m_trim_pending = false;  // segments may be covered by m_snapshot
   bool m_broken = false;        // a sync failed
 };
 
--- a/src/storage/log_store_impl.h
+++ b/src/storage/log_store_impl.h
@@ -122,6 +122,12 @@
   m_state = replay.State();
   m_base_pending = m_snapshot && !replay.BaseIsRecorded();
   m_recovered.m_entries = replay.Entries();
+  m_void_pending = m_base_pending && replay.Entries().empty();
+  m_trim_pending = m_snapshot.has_value();
+  if (m_snapshot)
+    m_terms.Reset(m_snapshot->m_last_index, m_snapshot->m_last_term);
+  for (const LogEntry& entry : replay.Entries())
+    m_terms.Append(entry.m_index, entry.m_term);
   return ResumeLastSegment();
 }
 
@@ -194,7 +200,8 @@
 std::string LogStore<D>::EncodeBase() const {
   return EncodeRecord({.m_type = RecordType::kBase,
                        .m_index = m_snapshot->m_last_index,
-                       .m_term = m_snapshot->m_last_term},
+                       .m_term = m_snapshot->m_last_term,
+                       .m_payload = m_void_pending ? "void" : ""},
                       m_identity.m_folder);
 }
 
@@ -225,6 +232,7 @@
   JUJUBE_TRY(Watch(m_disk.SyncFolder()));
   m_segments[number] = Segment{.m_bytes = head.size()};
   m_base_pending = false;
+  m_void_pending = false;
   return StorageSuccess();
 }
 
@@ -265,18 +273,26 @@
     bytes += EncodeRecord(ToRecord(entry), m_identity.m_folder);
   JUJUBE_TRY(AppendOrUndo(bytes));
   m_base_pending = false;
+  m_void_pending = false;
   if (state)
     m_state = *state;
   Segment& segment = m_segments.rbegin()->second;
-  for (const LogEntry& entry : entries)
+  for (const LogEntry& entry : entries) {
     segment.m_last_index = std::max(segment.m_last_index, entry.m_index);
+    m_terms.Append(entry.m_index, entry.m_term);
+  }
   return StorageSuccess();
 }
 
 template <Disk D>
 StorageStatus LogStore<D>::Sync() {
   JUJUBE_TRY(Usable());
-  return SyncFile(SegmentName(m_segments.rbegin()->first));
+  JUJUBE_TRY(SyncFile(SegmentName(m_segments.rbegin()->first)));
+  if (!m_trim_pending || m_base_pending)
+    return StorageSuccess();
+  m_trim_pending = false;
+  JUJUBE_TRY(DeleteCoveredSegments());
+  return DeleteOldSnapshots();
 }
 
 // ---- Snapshots
@@ -302,21 +318,20 @@
 }
 
 template <Disk D>
-StorageStatus LogStore<D>::BeginReceive() {
-  JUJUBE_TRY(Usable());
-  if (m_disk.Size(kReceiveName)) {
-    JUJUBE_TRY(m_disk.Remove(kReceiveName));
-  }
-  return m_disk.Append(kReceiveName, {});
-}
-
-template <Disk D>
-StorageStatus LogStore<D>::AppendReceived(std::string_view data) {
+StorageStatus LogStore<D>::WriteReceived(std::uint64_t offset,
+                                         std::string_view data) {
   JUJUBE_TRY(Usable());
+  JUJUBE_TRY(m_disk.Append(kReceiveName, {}));
   JUJUBE_TRY(const std::uint64_t size, m_disk.Size(kReceiveName));
-  const StorageStatus appended = m_disk.Append(kReceiveName, data);
+  if (offset > size)
+    return MakeStorageError(StorageFault::kIo,
+                            "a part of the received snapshot is missing");
+  if (offset < size) {
+    JUJUBE_TRY(m_disk.Truncate(kReceiveName, offset));
+  }
+  StorageStatus appended = m_disk.Append(kReceiveName, data);
   if (!appended) {
-    JUJUBE_TRY(m_disk.Truncate(kReceiveName, size));
+    JUJUBE_TRY(m_disk.Truncate(kReceiveName, offset));
   }
   return appended;
 }
@@ -347,8 +362,26 @@
   }
   m_snapshot = info;
   m_base_pending = true;
-  JUJUBE_TRY(DeleteCoveredSegments());
-  return DeleteOldSnapshots();
+  m_trim_pending = true;
+  if (m_terms.TermAt(info.m_last_index) != info.m_last_term) {
+    m_void_pending = true;
+    m_terms.Reset(info.m_last_index, info.m_last_term);
+  }
+  return RecordBase();
+}
+
+// Segments are deleted only after the record is durable: without it, a replay
+// could not tell whether entries after the snapshot belong to its history once
+// the entry at its index is gone.
+template <Disk D>
+StorageStatus LogStore<D>::RecordBase() {
+  StorageStatus appended = Append(std::nullopt, {});
+  if (appended)
+    return Sync();
+  // The next Append that succeeds writes the record.
+  if (appended.error().m_fault == StorageFault::kFull)
+    return StorageSuccess();
+  return appended;
 }
 
 template <Disk D>
--- a/src/storage/record.h
+++ b/src/storage/record.h
@@ -22,7 +22,8 @@
   kSegment = 1,    // first record; the index is the number of the segment
   kHardState = 2,  // payload is an encoded HardState
   kEntry = 3,      // payload is the kind followed by the data
-  kBase = 4,       // the log starts after this index; covered by a snapshot
+  kBase = 4,       // a snapshot covers the log up to this index and term; with
+                   // a payload, the entries before this record are void
 };
 
 struct Record {
--- a/src/storage/replay.cc
+++ b/src/storage/replay.cc
@@ -28,6 +28,8 @@
     }
     case RecordType::kBase:
       m_base_index = record.m_index;
+      if (!record.m_payload.empty())
+        m_entries.clear();
       DropTo(record.m_index, record.m_term);
       return StorageSuccess();
     case RecordType::kEntry:
@@ -66,11 +68,9 @@
   if (m_entries.empty())
     return;
   const std::uint64_t first = m_entries.front().m_index;
-  if (index < first) {
-    if (index + 1 < first)
-      m_entries.clear();
+  // Repeated at the head of a segment after earlier segments were deleted.
+  if (index < first)
     return;
-  }
   const std::uint64_t position = index - first;
   const bool matches =
       position < m_entries.size() && m_entries[position].m_term == term;
--- /dev/null
+++ b/tests/unit/consensus_replica_test.cc
@@ -0,0 +1,385 @@
+#include "consensus/founding.h"
+#include "consensus/start_registry.h"
+#include "unit/consensus_cluster.h"
+
+namespace jujube::consensus {
+namespace {
+
+const VoterId kA{{"c0"}, 100};
+const VoterId kB{{"c1"}, 101};
+const VoterId kC{{"c2"}, 102};
+const Voters kThree{.m_voters = {kA, kB, kC}};
+constexpr MonoTime kStart{};
+
+RestoredState Restored(std::uint64_t term, std::uint64_t entries) {
+  RestoredState state{.m_state = {.m_term = term},
+                      .m_snapshot = SnapshotInfo{.m_voters = kThree}};
+  for (std::uint64_t index = 1; index <= entries; ++index)
+    state.m_entries.push_back({.m_index = index, .m_term = term});
+  return state;
+}
+
+template <class T>
+std::vector<T> SentOf(const Actions& actions) {
+  std::vector<T> found;
+  for (const Message& message : actions.m_send) {
+    if (const T* one = std::get_if<T>(&message))
+      found.push_back(*one);
+  }
+  return found;
+}
+
+// Makes replica A the leader of the term after its own.
+Actions Elect(Replica* replica) {
+  replica->Step(replica->NextDeadline(), Tick{});
+  const std::uint64_t term = replica->Status().m_term + 1;
+  const MonoTime now = replica->NextDeadline();
+  replica->Step(now, Received{VoteReply{kB, kA, term, true, true}});
+  replica->Step(now, SyncDone{1});
+  return replica->Step(now, Received{VoteReply{kB, kA, term, false, true}});
+}
+
+// Guards against a second vote in a term after a crash: the vote is durable
+// before it is sent.
+TEST(ConsensusReplica, VoteIsSentOnlyAfterItIsSynced) {
+  Replica replica(kA, {}, Restored(1, 2), kStart);
+  const Actions asked =
+      replica.Step(kStart, Received{VoteRequest{kB, kA, 2, 2, 1}});
+  EXPECT_TRUE(asked.m_send.empty());
+  ASSERT_TRUE(asked.m_persist);
+  EXPECT_EQ(asked.m_persist->m_state, (HardState{2, kB}));
+  const auto replies = SentOf<VoteReply>(replica.Step(kStart, SyncDone{1}));
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_TRUE(replies[0].m_granted);
+  // One vote a term.
+  const auto second = SentOf<VoteReply>(
+      replica.Step(kStart, Received{VoteRequest{kC, kA, 2, 9, 1}}));
+  EXPECT_FALSE(second.at(0).m_granted);
+}
+
+// Guards against a leader that lacks committed entries.
+TEST(ConsensusReplica, CandidateWithAnOlderLogGetsNoVote) {
+  for (const auto& [index, term] : {std::pair{1, 3}, std::pair{9, 2}}) {
+    Replica replica(kA, {}, Restored(3, 2), kStart);
+    VoteRequest request{kB, kA, 4};
+    request.m_last_index = static_cast<std::uint64_t>(index);
+    request.m_last_term = static_cast<std::uint64_t>(term);
+    replica.Step(kStart, Received{request});
+    const auto replies = SentOf<VoteReply>(replica.Step(kStart, SyncDone{1}));
+    EXPECT_FALSE(replies.at(0).m_granted);
+  }
+}
+
+// Guards against counting an entry that a crash of the follower can still lose.
+TEST(ConsensusReplica, AppendIsConfirmedOnlyAfterItIsSynced) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  AppendRequest request{kB, kA, 1};
+  request.m_entries = {{.m_index = 1, .m_term = 1}};
+  request.m_commit_index = 1;
+  const Actions received = replica.Step(kStart, Received{request});
+  EXPECT_TRUE(received.m_send.empty());
+  EXPECT_TRUE(received.m_apply.empty());
+  const Actions synced =
+      replica.Step(kStart, SyncDone{received.m_persist->m_number});
+  EXPECT_EQ(SentOf<AppendReply>(synced).at(0).m_match_index, 1U);
+  EXPECT_EQ(synced.m_apply.size(), 1U);
+}
+
+// Guards against an entry of an earlier term that is reported as committed and
+// then replaced by a leader that lacks it.
+TEST(ConsensusReplica, OnlyEntriesOfTheOwnTermAreCommittedByCounting) {
+  Replica replica(kA, {}, Restored(1, 2), kStart);
+  const Actions elected = Elect(&replica);
+  ASSERT_EQ(replica.Status().m_role, Role::kLeader);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, SyncDone{elected.m_persist->m_number});
+  AppendReply reply{kB, kA, 2, true, 2};
+  EXPECT_TRUE(replica.Step(now, Received{reply}).m_apply.empty());
+  EXPECT_EQ(replica.Status().m_commit_index, 0U);
+  reply.m_match_index = 3;
+  EXPECT_EQ(replica.Step(now, Received{reply}).m_apply.size(), 3U);
+}
+
+// Guards against a leader that commits with an entry that it could lose.
+TEST(ConsensusReplica, LeaderCountsItselfOnlyAfterItsSync) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  const Actions elected = Elect(&replica);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  EXPECT_EQ(replica.Status().m_commit_index, 0U);
+  replica.Step(now, SyncDone{elected.m_persist->m_number});
+  EXPECT_EQ(replica.Status().m_commit_index, 1U);
+}
+
+// Guards against a replaced disk that answers for the identity it replaced.
+TEST(ConsensusReplica, MessageToAnotherFolderIsDropped) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  const VoterId replaced{{"c0"}, 555};
+  const Actions actions =
+      replica.Step(kStart, Received{VoteRequest{kB, replaced, 7}});
+  EXPECT_TRUE(actions.m_foreign);
+  EXPECT_EQ(actions.m_persist, std::nullopt);
+  EXPECT_EQ(replica.Status().m_term, 1U);
+}
+
+// Guards against a message with a gap between its entries.
+TEST(ConsensusReplica, EntriesOutOfSequenceAreIgnored) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  AppendRequest request{kB, kA, 1};
+  request.m_entries = {{.m_index = 5, .m_term = 1}};
+  EXPECT_EQ(replica.Step(kStart, Received{request}), Actions{});
+}
+
+// Guards against elections that split their votes again and again.
+TEST(ConsensusReplica, ElectionTimeoutsDiffer) {
+  std::set<MonoTime> deadlines;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const Replica replica(kA, {.m_random_seed = seed}, Restored(1, 0), kStart);
+    deadlines.insert(replica.NextDeadline());
+    EXPECT_GE(replica.NextDeadline(), kStart + milliseconds(500));
+    EXPECT_LT(replica.NextDeadline(), kStart + milliseconds(1000));
+  }
+  EXPECT_EQ(deadlines.size(), 20U);
+}
+
+// Guards against unbounded memory for a follower that does not answer.
+TEST(ConsensusReplica, MessagesInFlightAreBounded) {
+  Replica replica(kA, {.m_max_messages_in_flight = 4}, Restored(1, 0), kStart);
+  Elect(&replica);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  std::size_t sent = 0;
+  for (int i = 0; i < 20; ++i)
+    sent += SentOf<AppendRequest>(replica.Step(now, Propose{1, "x"})).size();
+  EXPECT_EQ(sent, 4U);
+}
+
+TEST(ConsensusReplica, UncommittedBytesAreBounded) {
+  Replica replica(kA, {.m_max_uncommitted_bytes = 10}, Restored(1, 0), kStart);
+  Elect(&replica);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, Propose{1, "12345678"});
+  EXPECT_EQ(replica.Step(now, Propose{2, "12345678"}).m_refused.size(), 1U);
+}
+
+// Guards against a returning replica that forces an election.
+TEST(ConsensusCluster, IsolatedReplicaDoesNotRaiseItsTerm) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  const std::size_t other = (leader + 1) % 3;
+  const std::uint64_t term = cluster.Status(leader).m_term;
+  cluster.At(other).m_isolated = true;
+  cluster.Run(milliseconds(10000));
+  cluster.At(other).m_isolated = false;
+  cluster.Run(milliseconds(2000));
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_EQ(cluster.Status(other).m_term, term);
+}
+
+// Guards against a vote for a candidate that cannot hear a live leader.
+TEST(ConsensusReplica, VoteRequestIsIgnoredWhileALeaderIsHeard) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  replica.Step(kStart, Received{AppendRequest{kB, kA, 1}});
+  const Actions actions =
+      replica.Step(kStart, Received{VoteRequest{kC, kA, 5}});
+  EXPECT_EQ(actions, Actions{});
+  EXPECT_EQ(replica.Status().m_term, 1U);
+}
+
+// Guards against acknowledgements and reads by a leader without a majority.
+TEST(ConsensusCluster, IsolatedLeaderStepsDownAndAcknowledgesNothing) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  Cluster::Node& node = cluster.At(leader);
+  const std::uint64_t applied = node.m_applied;
+  node.m_isolated = true;
+  cluster.Propose(leader, "lost");
+  const std::uint64_t read = cluster.Read(leader);
+  cluster.Run(milliseconds(1000));
+  EXPECT_TRUE(node.m_lost_quorum);
+  EXPECT_NE(cluster.Status(leader).m_role, Role::kLeader);
+  EXPECT_EQ(node.m_applied, applied);
+  EXPECT_FALSE(node.m_answered_reads.contains(read));
+  EXPECT_EQ(node.m_refused.size(), 1U);
+}
+
+// Guards against a frozen leader that acts on the first event after it resumed.
+TEST(ConsensusReplica, ResumedLeaderRefusesTheFirstProposal) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  Elect(&replica);
+  const Actions actions =
+      replica.Step(replica.NextDeadline() + milliseconds(600), Propose{1, "x"});
+  EXPECT_EQ(actions.m_refused.size(), 1U);
+  EXPECT_TRUE(actions.m_role->m_lost_quorum);
+}
+
+TEST(ConsensusCluster, ReadIsAnsweredByAMajority) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  const std::uint64_t read = cluster.Read(leader);
+  EXPECT_FALSE(cluster.At(leader).m_answered_reads.contains(read));
+  cluster.Settle();
+  EXPECT_TRUE(cluster.At(leader).m_answered_reads.contains(read));
+}
+
+// Guards against a read confirmed by an answer to an earlier round.
+TEST(ConsensusReplica, ReadNeedsARoundThatStartedAfterIt) {
+  Replica replica(kA, {}, Restored(1, 0), kStart);
+  const Actions elected = Elect(&replica);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, SyncDone{elected.m_persist->m_number});
+  AppendReply reply{kB, kA, 2, true, 1};
+  replica.Step(now, Received{reply});
+  replica.Step(now, Read{7});
+  EXPECT_TRUE(replica.Step(now, Received{reply}).m_reads.empty());
+  replica.Step(now, Read{8});
+  reply.m_read_round = 1;
+  EXPECT_EQ(replica.Step(now, Received{reply}).m_reads,
+            std::vector<std::uint64_t>{7});
+  reply.m_read_round = 2;
+  EXPECT_EQ(replica.Step(now, Received{reply}).m_reads,
+            std::vector<std::uint64_t>{8});
+}
+
+// Guards against a planned stop that costs an election timeout.
+TEST(ConsensusCluster, TransferMovesLeadershipWithoutATimeout) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  const std::size_t to = (leader + 2) % 3;
+  cluster.Step(leader, Transfer{.m_to = cluster.At(to).m_id});
+  cluster.Propose(leader, "during the transfer");
+  EXPECT_EQ(cluster.At(leader).m_refused.size(), 1U);
+  cluster.Settle();
+  EXPECT_EQ(cluster.Leader(), to);
+}
+
+// Guards against two changes in progress, whose majorities need not overlap.
+TEST(ConsensusCluster, MembershipChangesOneStepAtATime) {
+  Cluster cluster(3, 5);
+  const std::size_t leader = cluster.MustLead();
+  cluster.Change(leader, MembershipStep::kAddLearner, 3);
+  cluster.Change(leader, MembershipStep::kAddLearner, 4);
+  ASSERT_EQ(cluster.At(leader).m_refused.size(), 1U);
+  cluster.Settle();
+  cluster.Change(leader, MembershipStep::kAddLearner, 4);
+  EXPECT_EQ(cluster.At(leader).m_refused.size(), 1U);
+}
+
+// Guards against a new voter that lacks what was committed before it joined.
+TEST(ConsensusCluster, LearnerIsPromotedOnlyWithTheWholeLog) {
+  Cluster cluster(3, 4);
+  const std::size_t leader = cluster.MustLead();
+  cluster.At(3).m_isolated = true;
+  cluster.Change(leader, MembershipStep::kAddLearner, 3);
+  cluster.Settle();
+  cluster.Change(leader, MembershipStep::kPromote, 3);
+  ASSERT_EQ(cluster.At(leader).m_refused.size(), 1U);
+  EXPECT_EQ(cluster.Status(leader).m_voters.m_voters.size(), 3U);
+  cluster.At(3).m_isolated = false;
+  cluster.Run(milliseconds(200));
+  cluster.Change(leader, MembershipStep::kPromote, 3);
+  cluster.Run(milliseconds(200));
+  EXPECT_EQ(cluster.Status(3).m_voters.m_voters.size(), 4U);
+}
+
+// Guards against a learner that counts for a majority.
+TEST(ConsensusCluster, LearnerHasNoVote) {
+  Cluster cluster(1, 2);
+  const std::size_t leader = cluster.MustLead();
+  cluster.Change(leader, MembershipStep::kAddLearner, 1);
+  cluster.Settle();
+  cluster.At(1).m_isolated = true;
+  cluster.Run(milliseconds(5000));
+  EXPECT_EQ(cluster.Leader(), 0U);
+  EXPECT_EQ(cluster.Status(1).m_role, Role::kFollower);
+}
+
+// Guards against a host with two votes after its disk was replaced.
+TEST(ConsensusReplica, SecondFolderOfAHostIsNotPromoted) {
+  RestoredState state = Restored(1, 0);
+  state.m_snapshot->m_voters.m_learners = {VoterId{{"c1"}, 900}};
+  Replica replica(kA, {}, state, kStart);
+  const Actions elected = Elect(&replica);
+  const MonoTime now = replica.NextDeadline();
+  replica.Step(now, SyncDone{elected.m_persist->m_number});
+  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  const Actions actions = replica.Step(
+      now, ChangeMembership{1, MembershipStep::kPromote, {{"c1"}, 900}});
+  EXPECT_EQ(actions.m_refused.at(0).m_error.m_code, ErrorCode::kConflict);
+}
+
+TEST(ConsensusCluster, RemovedLeaderStepsDown) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  cluster.Change(leader, MembershipStep::kRemove, leader);
+  cluster.Settle();
+  EXPECT_NE(cluster.Status(leader).m_role, Role::kLeader);
+  EXPECT_NE(cluster.MustLead(), leader);
+}
+
+// Guards against a replica that missed more than the log holds.
+TEST(ConsensusCluster, LaggingReplicaGetsASnapshotInParts) {
+  Cluster cluster(3, 3, {.m_snapshot_chunk_bytes = 40, .m_entries_kept = 2});
+  const std::size_t leader = cluster.MustLead();
+  const std::size_t other = (leader + 1) % 3;
+  cluster.At(other).m_isolated = true;
+  for (int i = 0; i < 300; ++i)
+    cluster.Propose(leader, std::to_string(i));
+  cluster.Run(milliseconds(200));
+  cluster.TakeSnapshot(leader);
+  cluster.Settle();
+  EXPECT_GT(cluster.Status(leader).m_first_index, 200U);
+  cluster.At(other).m_isolated = false;
+  cluster.Run(milliseconds(1000));
+  EXPECT_EQ(cluster.At(other).m_installs, 1U);
+  EXPECT_EQ(cluster.At(other).m_state, cluster.At(leader).m_state);
+  cluster.Crash(other);
+  cluster.Run(milliseconds(1000));
+  EXPECT_EQ(cluster.At(other).m_state, cluster.At(leader).m_state);
+}
+
+TEST(ConsensusCluster, FullDiskRefusesProposalsUntilThereIsSpace) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.MustLead();
+  Cluster::Node& node = cluster.At(leader);
+  node.m_disk->m_free_bytes = 0;
+  cluster.Propose(leader, "first");
+  cluster.RunJob(leader);
+  cluster.Propose(leader, "second");
+  EXPECT_EQ(node.m_refused.size(), 1U);
+  node.m_disk->m_free_bytes = UINT64_MAX;
+  cluster.Settle();
+  cluster.Propose(leader, "third");
+  cluster.Settle();
+  EXPECT_EQ(node.m_refused.size(), 1U);
+  EXPECT_EQ(node.m_applied, cluster.Status(leader).m_last_index);
+}
+
+// Guards against a data folder that was restored from an old copy.
+TEST(ConsensusStartRegistry, LowerStartCountIsRefused) {
+  StartRegistry registry({.m_peers = {{.m_replica = kA, .m_starts = 4}}});
+  EXPECT_FALSE(registry.Observe({.m_replica = kA, .m_starts = 3}));
+  EXPECT_TRUE(registry.Observe({.m_replica = kA, .m_starts = 4}));
+  EXPECT_FALSE(registry.TakeChanged());
+  EXPECT_TRUE(registry.Observe({.m_replica = kA, .m_starts = 6}));
+  EXPECT_TRUE(registry.TakeChanged());
+  StartRegistry stored(registry.Snapshot());
+  EXPECT_FALSE(stored.Observe({.m_replica = kA, .m_starts = 5}));
+}
+
+// Guards against hosts with lost disks that found a second log.
+TEST(ConsensusFounding, OnlyWithAllHostsAndOnlyIfAllAreEmpty) {
+  const std::vector<HostId> hosts = {{"c0"}, {"c1"}};
+  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = kA}}).m_step,
+            FoundingStep::kWait);
+  const std::vector<Introduction> empty = {{.m_replica = kB},
+                                           {.m_replica = kA}};
+  EXPECT_EQ(DecideFounding(hosts, empty).m_voters.m_voters,
+            (std::vector<VoterId>{kA, kB}));
+  const Introduction founded{.m_replica = kB, .m_starts = 2, .m_founded = true};
+  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = kA}, founded}).m_step,
+            FoundingStep::kJoin);
+}
+
+}  // namespace
+}  // namespace jujube::consensus
