Add the control daemon

Cause: configuration, claims and allotments need a replicated state that operators and entry hosts can reach.

--- /dev/null
+++ b/src/controld/daemon.cc
@@ -0,0 +1,155 @@
+#include "controld/daemon.h"
+
+#include <csignal>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "controld/control_service.h"
+#include "controld/operator_api.h"
+#include "net/http_listener.h"
+#include "observe/log.h"
+
+namespace jujube::controld {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds kTransferPoll{10};
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+// Grows with each start and differs between hosts: milliseconds in the upper
+// bits, random ones below.
+std::uint64_t MakeIncarnation() {
+  constexpr unsigned kRandomBits = 20;
+  const auto wall = static_cast<std::uint64_t>(SystemClock().WallNow().count());
+  return (wall << kRandomBits) | (RandomNumber() >> (64U - kRandomBits));
+}
+
+net::FrameOptions MakeFrameOptions(const std::string& key) {
+  net::FrameOptions options;
+  options.m_key = key;
+  options.m_incarnation = MakeIncarnation();
+  options.m_on_event = [](LogEvent event, std::string_view detail) {
+    observe::Log(event, {{"detail", detail}});
+  };
+  return options;
+}
+
+LogEvent EventOf(storage::StorageFault fault) {
+  switch (fault) {
+    case storage::StorageFault::kCorrupt:
+      return LogEvent::kLogCorrupt;
+    case storage::StorageFault::kInUse:
+      return LogEvent::kFolderInUse;
+    default:
+      return LogEvent::kStorageFailed;
+  }
+}
+
+Result<Store> OpenStore(const std::string& folder) {
+  const auto failure = [](const storage::StorageError& error) {
+    observe::Log(EventOf(error.m_fault), {{"error", error.m_message}});
+    return MakeError(ErrorCode::kIo, error.m_message);
+  };
+  auto disk = storage::PosixDisk::Open(folder);
+  if (!disk)
+    return failure(disk.error());
+  auto store = Store::Open(std::move(disk).value(), {}, RandomNumber() | 1U);
+  if (!store)
+    return failure(store.error());
+  return std::move(store).value();
+}
+
+}  // namespace
+
+struct Daemon::State {
+  State(ControlSettings settings, ControlKeys keys)
+      : m_settings(std::move(settings)), m_keys(std::move(keys)) {}
+
+  Status Start();
+  asio::awaitable<void> WaitForStop();
+
+  const ControlSettings m_settings;
+  const ControlKeys m_keys;
+  asio::io_context m_io{1};
+  std::unique_ptr<ControlService> m_service;
+  std::unique_ptr<OperatorApi> m_api;
+  std::unique_ptr<net::HttpListener> m_listener;
+};
+
+Status Daemon::State::Start() {
+  const ControlPeer* self = nullptr;
+  for (const ControlPeer& peer : m_settings.m_peers) {
+    if (peer.m_host == m_settings.m_host)
+      self = &peer;
+  }
+  if (self == nullptr) {
+    return MakeError(
+        ErrorCode::kInvalidInput,
+        "$.peers: found no line for this host " + m_settings.m_host.m_value);
+  }
+  JUJUBE_TRY(Store store, OpenStore(m_settings.m_data_folder));
+  m_service = std::make_unique<ControlService>(
+      m_io, m_settings, MakeFrameOptions(m_keys.m_peer), std::move(store));
+  JUJUBE_TRY(m_service->Start());
+  m_api = std::make_unique<OperatorApi>(*m_service, m_settings.m_host,
+                                        m_keys.m_operator);
+  m_listener = std::make_unique<net::HttpListener>(
+      m_io,
+      [this](net::HttpExchange& exchange) { return m_api->Handle(exchange); });
+  JUJUBE_TRY(m_listener->Listen(self->m_operator));
+  return Success();
+}
+
+asio::awaitable<void> Daemon::State::WaitForStop() {
+  asio::signal_set signals(m_io, SIGTERM, SIGINT);
+  co_await signals.async_wait(kTuple);
+  const MonoTime deadline =
+      MonoClock::now() + 2 * m_settings.m_election_timeout;
+  asio::steady_timer timer(m_io);
+  if (m_service->Runner().IsLeader())
+    m_service->Runner().Transfer();
+  while (m_service->Runner().IsLeader() && MonoClock::now() < deadline) {
+    timer.expires_after(kTransferPoll);
+    co_await timer.async_wait(kTuple);
+  }
+  m_listener->Close();
+  m_service->Stop();
+  m_io.stop();
+}
+
+Daemon::Daemon(ControlSettings settings, ControlKeys keys)
+    : m_state(std::make_unique<State>(std::move(settings), std::move(keys))) {}
+
+Daemon::~Daemon() = default;
+
+Status Daemon::Start() {
+  JUJUBE_TRY(m_state->Start());
+  observe::Log(LogEvent::kStarted,
+               {{"host", m_state->m_settings.m_host.m_value}});
+  return Success();
+}
+
+void Daemon::Run() {
+  asio::co_spawn(m_state->m_io, m_state->WaitForStop(), asio::detached);
+  m_state->m_io.run();
+  observe::Log(LogEvent::kStopped, {});
+}
+
+}  // namespace jujube::controld
--- /dev/null
+++ b/src/controld/replica_runner.cc
@@ -0,0 +1,426 @@
+#include "controld/replica_runner.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <variant>
+
+#include "consensus/founding.h"
+#include "observe/log.h"
+
+// Sections: start, peers, founding, steps, proposals, snapshots.
+
+namespace jujube::controld {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}  // namespace
+
+// ---- Start -----------------------------------------------------------------
+
+ReplicaRunner::ReplicaRunner(boost::asio::io_context& io,
+                             const ControlSettings& settings,
+                             const net::FrameOptions& frames,
+                             Store store,
+                             RunnerCallbacks callbacks)
+    : m_io(io),
+      m_settings(settings),
+      m_frames(frames),
+      m_callbacks(std::move(callbacks)),
+      m_recovered(store.TakeRecovered()),
+      m_self{.m_host = settings.m_host,
+             .m_folder = m_recovered.m_identity.m_folder},
+      m_starts(m_recovered.m_identity.m_starts),
+      m_is_founded(m_recovered.m_snapshot.has_value()),
+      m_start_registry(m_recovered.m_peers),
+      m_disk(std::make_unique<DiskThread>(
+          io,
+          std::move(store),
+          [this](consensus::Event event) {
+            if (const auto* written =
+                    std::get_if<consensus::SnapshotWritten>(&event))
+              m_is_receiving_snapshot &= !written->m_installed;
+            if (std::holds_alternative<consensus::SnapshotTaken>(event))
+              m_is_taking_snapshot = false;
+            Step(std::move(event));
+          })),
+      m_timer(io),
+      m_leader_seen(MonoClock::now()) {}
+
+ReplicaRunner::~ReplicaRunner() = default;
+
+Status ReplicaRunner::Start() {
+  m_introductions[m_self.m_host] = OwnIntroduction();
+  if (m_recovered.m_torn_bytes > 0) {
+    observe::Log(LogEvent::kTornTailTruncated,
+                 {{"bytes", m_recovered.m_torn_bytes}});
+  }
+  if (m_is_founded && m_recovered.m_snapshot_bytes > 0) {
+    const auto data = m_disk->ReadWhole(m_recovered.m_snapshot->m_last_index);
+    if (!data)
+      return MakeError(ErrorCode::kIo, data.error().m_message);
+    JUJUBE_TRY(m_state, LoadPieces(data.value()));
+  }
+  if (m_recovered.m_snapshot)
+    m_snapshot_index = m_recovered.m_snapshot->m_last_index;
+  ConnectToPeers();
+  if (m_is_founded || m_settings.m_join || !m_recovered.m_entries.empty())
+    StartReplica();
+  else
+    TryFounding();
+  return Success();
+}
+
+void ReplicaRunner::Stop() {
+  m_is_stopped = true;
+  m_timer.cancel();
+  for (auto& [host, client] : m_clients)
+    client->Stop();
+  m_disk->Stop();
+}
+
+// ---- Peers -----------------------------------------------------------------
+
+Introduction ReplicaRunner::OwnIntroduction() const {
+  return {.m_replica = m_self, .m_starts = m_starts, .m_founded = m_is_founded};
+}
+
+void ReplicaRunner::ConnectToPeers() {
+  for (const ControlPeer& peer : m_settings.m_peers) {
+    if (peer.m_host == m_settings.m_host)
+      continue;
+    auto client = std::make_unique<net::FrameClient>(
+        m_io, m_frames, peer.m_peer, net::FrameDispatch());
+    net::FrameClient* raw = client.get();
+    client->OnConnection([this, raw](bool connected) {
+      if (connected)
+        raw->Send(OwnIntroduction());
+    });
+    client->Start();
+    m_clients.emplace(peer.m_host, std::move(client));
+  }
+}
+
+template <class Message>
+void ReplicaRunner::RegisterMessage(net::FrameDispatch* handlers) {
+  handlers->On<Message>(
+      [this](const net::FrameSource& source, const Message& message) {
+        OnMessage(source, message);
+      });
+}
+
+void ReplicaRunner::Register(net::FrameDispatch* handlers) {
+  RegisterMessage<VoteRequest>(handlers);
+  RegisterMessage<VoteReply>(handlers);
+  RegisterMessage<AppendRequest>(handlers);
+  RegisterMessage<AppendReply>(handlers);
+  RegisterMessage<SnapshotChunk>(handlers);
+  RegisterMessage<SnapshotReply>(handlers);
+  RegisterMessage<TimeoutNow>(handlers);
+  handlers->On<Introduction>(
+      [this](const net::FrameSource& source, const Introduction& introduction) {
+        OnIntroduction(source, introduction);
+      });
+}
+
+void ReplicaRunner::OnIntroduction(const net::FrameSource& source,
+                                   const Introduction& introduction) {
+  if (!m_start_registry.Observe(introduction)) {
+    observe::Log(LogEvent::kOldFolderRefused,
+                 {{"host", introduction.m_replica.m_host.m_value},
+                  {"starts", introduction.m_starts}});
+    if (const auto connection = source.m_connection.lock())
+      connection->Close();
+    return;
+  }
+  // Durable before the first message of the peer is acted on.
+  if (m_start_registry.TakeChanged())
+    m_disk->WritePeerStarts(m_start_registry.Snapshot());
+  m_accepted_peers[source.m_incarnation] = introduction.m_replica;
+  m_introductions[introduction.m_replica.m_host] = introduction;
+  if (!m_replica)
+    TryFounding();
+}
+
+void ReplicaRunner::OnMessage(const net::FrameSource& source,
+                              consensus::Message message) {
+  const auto peer = m_accepted_peers.find(source.m_incarnation);
+  const bool is_known = peer != m_accepted_peers.end() &&
+                        peer->second == consensus::SenderOf(message);
+  if (is_known && m_replica)
+    Step(consensus::Received{std::move(message)});
+}
+
+// ---- Founding --------------------------------------------------------------
+
+void ReplicaRunner::TryFounding() {
+  std::vector<HostId> hosts;
+  for (const ControlPeer& peer : m_settings.m_peers)
+    hosts.push_back(peer.m_host);
+  std::vector<Introduction> seen;
+  for (const auto& [host, introduction] : m_introductions)
+    seen.push_back(introduction);
+  const consensus::FoundingDecision decision =
+      consensus::DecideFounding(hosts, seen);
+  if (decision.m_step == consensus::FoundingStep::kWait)
+    return;
+  if (decision.m_step == consensus::FoundingStep::kFound) {
+    const storage::StorageStatus stored = m_disk->Found(decision.m_voters);
+    if (!stored) {
+      observe::Log(LogEvent::kStorageFailed,
+                   {{"error", stored.error().m_message}});
+      return;
+    }
+    m_recovered.m_snapshot = SnapshotInfo{.m_voters = decision.m_voters};
+    m_is_founded = true;
+    m_introductions[m_self.m_host] = OwnIntroduction();
+  }
+  StartReplica();
+}
+
+void ReplicaRunner::StartReplica() {
+  consensus::ReplicaOptions options;
+  options.m_heartbeat = m_settings.m_heartbeat;
+  options.m_election_timeout = m_settings.m_election_timeout;
+  options.m_random_seed = RandomSeed();
+  const MonoTime now = MonoClock::now();
+  m_replica.emplace(
+      m_self, options,
+      consensus::RestoredState{.m_state = m_recovered.m_state,
+                               .m_snapshot = m_recovered.m_snapshot,
+                               .m_entries = std::move(m_recovered.m_entries)},
+      now);
+  m_recovered = {};
+  Step(consensus::Tick{});
+}
+
+// ---- Steps -----------------------------------------------------------------
+
+void ReplicaRunner::Step(consensus::Event event) {
+  m_events.push_back(std::move(event));
+  if (m_is_stepping)
+    return;
+  m_is_stepping = true;
+  while (!m_events.empty() && m_replica && !m_is_stopped) {
+    const consensus::Event next = std::move(m_events.front());
+    m_events.pop_front();
+    Execute(m_replica->Step(MonoClock::now(), next));
+  }
+  m_events.clear();
+  m_is_stepping = false;
+  if (m_replica)
+    ScheduleTick();
+}
+
+void ReplicaRunner::ScheduleTick() {
+  if (m_is_stopped)
+    return;
+  const auto wait = std::max<MonoClock::duration>(
+      m_replica->NextDeadline() - MonoClock::now(), milliseconds(1));
+  m_timer.expires_after(wait);
+  m_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error)
+      Step(consensus::Tick{});
+  });
+}
+
+void ReplicaRunner::Execute(consensus::Actions actions) {
+  if (actions.m_role)
+    OnRole(*actions.m_role);
+  if (actions.m_persist)
+    m_disk->Persist(*std::move(actions.m_persist));
+  for (const consensus::Message& message : actions.m_send)
+    Send(message);
+  if (actions.m_snapshot_write) {
+    m_is_receiving_snapshot = actions.m_snapshot_write->m_last;
+    m_disk->Write(*std::move(actions.m_snapshot_write));
+  }
+  for (const consensus::SnapshotRead& read : actions.m_snapshot_reads)
+    m_disk->Read(read);
+  if (actions.m_install)
+    Install(*actions.m_install);
+  for (const consensus::Accepted& accepted : actions.m_accepted) {
+    auto node = m_proposed.extract(accepted.m_token);
+    if (!node.empty()) {
+      m_accepted[accepted.m_index] = {.m_term = accepted.m_term,
+                                      .m_callback = std::move(node.mapped())};
+    }
+  }
+  for (const LogEntry& entry : actions.m_apply)
+    ApplyEntry(entry);
+  for (const consensus::Refused& refused : actions.m_refused) {
+    auto node = m_proposed.extract(refused.m_token);
+    if (!node.empty()) {
+      node.mapped()({.m_fate = IsLeader() ? ProposalFate::kRefused
+                                          : ProposalFate::kNotLeader,
+                     .m_error = refused.m_error.m_message});
+    }
+    auto read = m_reads.extract(refused.m_token);
+    if (!read.empty())
+      read.mapped()(false);
+  }
+  for (const std::uint64_t token : actions.m_reads) {
+    auto read = m_reads.extract(token);
+    if (!read.empty())
+      read.mapped()(true);
+  }
+  if (actions.m_foreign)
+    observe::Log(LogEvent::kForeignFolder, {});
+  MaybeTakeSnapshot();
+}
+
+void ReplicaRunner::Send(const consensus::Message& message) {
+  const auto client = m_clients.find(consensus::ReceiverOf(message).m_host);
+  if (client == m_clients.end())
+    return;
+  std::visit([&](const auto& typed) { client->second->Send(typed); }, message);
+}
+
+void ReplicaRunner::OnRole(const consensus::RoleChange& change) {
+  m_leader = change.m_leader;
+  m_leader_seen = MonoClock::now();
+  if (change.m_role == consensus::Role::kLeader) {
+    observe::Log(LogEvent::kBecameLeader, {{"term", change.m_term}});
+  } else {
+    if (change.m_lost_quorum)
+      observe::Log(LogEvent::kQuorumLost, {{"term", change.m_term}});
+    FailWaiting();
+  }
+  m_callbacks.m_on_role(change);
+}
+
+// ---- Proposals -------------------------------------------------------------
+
+void ReplicaRunner::Propose(std::string command, ProposalCallback callback) {
+  if (!m_replica) {
+    callback({.m_fate = ProposalFate::kNotLeader});
+    return;
+  }
+  const std::uint64_t token = m_next_token++;
+  m_proposed.emplace(token, std::move(callback));
+  Step(consensus::Propose{.m_token = token, .m_data = std::move(command)});
+}
+
+void ReplicaRunner::ChangeMembership(consensus::MembershipStep step,
+                                     const VoterId& replica,
+                                     ProposalCallback callback) {
+  if (!m_replica) {
+    callback({.m_fate = ProposalFate::kNotLeader});
+    return;
+  }
+  const std::uint64_t token = m_next_token++;
+  m_proposed.emplace(token, std::move(callback));
+  Step(consensus::ChangeMembership{
+      .m_token = token, .m_step = step, .m_replica = replica});
+}
+
+void ReplicaRunner::ReadBarrier(ReadCallback callback) {
+  if (!m_replica) {
+    callback(false);
+    return;
+  }
+  const std::uint64_t token = m_next_token++;
+  m_reads.emplace(token, std::move(callback));
+  Step(consensus::Read{.m_token = token});
+}
+
+void ReplicaRunner::Transfer() {
+  Step(consensus::Transfer{.m_token = m_next_token++});
+}
+
+void ReplicaRunner::ApplyEntry(const LogEntry& entry) {
+  ProposalOutcome outcome{.m_fate = ProposalFate::kApplied};
+  if (entry.m_kind == EntryKind::kCommand) {
+    Result<control::CommandResult> result =
+        m_state.Apply(entry.m_index, entry.m_data);
+    if (result) {
+      outcome.m_result = std::move(result).value();
+      m_callbacks.m_on_applied(entry.m_index, *outcome.m_result);
+    } else {
+      observe::Log(
+          LogEvent::kCommandRefused,
+          {{"index", entry.m_index}, {"error", result.error().m_message}});
+      outcome.m_fate = ProposalFate::kRefused;
+      outcome.m_error = result.error().m_message;
+    }
+  }
+  auto node = m_accepted.extract(entry.m_index);
+  if (node.empty())
+    return;
+  if (node.mapped().m_term != entry.m_term)
+    outcome = {.m_fate = ProposalFate::kNotLeader};
+  node.mapped().m_callback(outcome);
+}
+
+void ReplicaRunner::FailWaiting() {
+  const auto accepted = std::exchange(m_accepted, {});
+  for (const auto& [index, waiting] : accepted)
+    waiting.m_callback({.m_fate = ProposalFate::kUnknown});
+}
+
+// ---- Snapshots -------------------------------------------------------------
+
+void ReplicaRunner::MaybeTakeSnapshot() {
+  const SnapshotInfo info = m_replica->AppliedInfo();
+  if (m_is_taking_snapshot || m_is_receiving_snapshot ||
+      info.m_last_index < m_snapshot_index + m_settings.m_snapshot_every)
+    return;
+  m_is_taking_snapshot = true;
+  m_snapshot_index = info.m_last_index;
+  m_disk->WriteOwnSnapshot(std::make_shared<control::SnapshotWriter>(m_state),
+                           info);
+}
+
+void ReplicaRunner::Install(const SnapshotInfo& info) {
+  const auto data = m_disk->ReadWhole(info.m_last_index);
+  Result<control::StateMachine> state =
+      data ? LoadPieces(data.value())
+           : MakeError(ErrorCode::kIo, data.error().m_message);
+  if (!state) {
+    // A replica without this state must not go on applying entries.
+    observe::Log(LogEvent::kSnapshotRefused,
+                 {{"error", state.error().m_message}});
+    std::_Exit(EXIT_FAILURE);
+  }
+  m_state = std::move(state).value();
+  m_snapshot_index = info.m_last_index;
+  m_is_founded = true;
+  observe::Log(LogEvent::kSnapshotInstalled, {{"index", info.m_last_index}});
+  m_callbacks.m_on_restored();
+}
+
+// ---- Status ----------------------------------------------------------------
+
+bool ReplicaRunner::IsLeader() const {
+  return m_replica && m_replica->Status().m_role == consensus::Role::kLeader;
+}
+
+std::optional<ControlPeer> ReplicaRunner::Leader() const {
+  if (!m_leader)
+    return std::nullopt;
+  for (const ControlPeer& peer : m_settings.m_peers) {
+    if (peer.m_host == m_leader->m_host)
+      return peer;
+  }
+  return std::nullopt;
+}
+
+consensus::ReplicaStatus ReplicaRunner::ReplicaState() const {
+  return m_replica ? m_replica->Status() : consensus::ReplicaStatus{};
+}
+
+milliseconds ReplicaRunner::LeaderlessTime() const {
+  if (m_leader)
+    return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(MonoClock::now() -
+                                                  m_leader_seen);
+}
+
+}  // namespace jujube::controld
