Carry requests through control and entry daemons, with slots from leases

Cause: followers of the control log aborted on a refused apply: GCC 12 destroys a braced temporary aggregate in a co_await expression twice. Entry hosts had no slots until a request had failed, and demand was not reported.

Change: arguments of co_await are named; the publisher keeps no change from index 0; an entry host asks for the slots of its own availability zone without use, spends slots from its leases and reports refused demand. A refusal before the claim store was asked says "not run" only if the caller states that no earlier attempt can have run.

--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -121,7 +121,8 @@
   const RequestHead& head = exchange.Head();
   const std::string_view path = net::TargetPath(head.m_target);
   if (path == "/healthz") {
-    co_await exchange.Respond({}, "ok\n");
+    ResponseHead healthy;
+    co_await exchange.Respond(std::move(healthy), "ok\n");
     co_return;
   }
   if (!net::HasBearerKey(head, m_key)) {
@@ -223,7 +224,8 @@
     co_return;
   }
   if (!co_await IsCurrent()) {
-    co_await RespondToFate(exchange, {.m_fate = ProposalFate::kNotLeader});
+    const ProposalOutcome refused{.m_fate = ProposalFate::kNotLeader};
+    co_await RespondToFate(exchange, refused);
     co_return;
   }
   const control::StateMachine& state = m_service.Runner().State();
@@ -272,7 +274,8 @@
        ++i) {
     // The state must be current before a document is judged by it.
     if (!co_await IsCurrent()) {
-      co_await RespondToFate(exchange, {.m_fate = ProposalFate::kNotLeader});
+      const ProposalOutcome refused{.m_fate = ProposalFate::kNotLeader};
+      co_await RespondToFate(exchange, refused);
       co_return;
     }
     control::ApplyProposal proposal = control::PrepareApply(
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -183,16 +183,24 @@
   if (!HasControl())
     return;
   const limits::Topology topology = limits::MakeTopology(m_state->m_deployment);
+  const AvailabilityZoneId& own_zone = m_shared.m_settings.m_availability_zone;
+  const LimitId own_region =
+      limits::RegionLimit(RegionOf(m_state->m_deployment, own_zone));
   for (const limits::Cap& cap : topology.m_caps) {
-    if (cap.m_limit.m_kind != LimitKind::kShift)
-      m_holder.Track({.m_limit = cap.m_limit});
+    if (cap.m_limit.m_kind == LimitKind::kShift)
+      continue;
+    const bool is_own = cap.m_limit == own_region;
+    m_holder.Track(
+        {.m_limit = cap.m_limit, .m_floor = is_own ? cap.m_size : 0});
   }
   for (const membership::Member& member : m_registry.Snapshot().m_members) {
     const Announcement& known = member.m_announcement;
+    const bool is_local = known.m_availability_zone == own_zone;
     m_holder.Track(
         {.m_limit = limits::SlotLimit(known.m_service, known.m_instance),
          .m_cap = known.m_slots,
-         .m_zone = known.m_availability_zone});
+         .m_zone = known.m_availability_zone,
+         .m_floor = is_local ? known.m_slots : 0U});
   }
 }
 
--- a/src/entry/forwarder.cc
+++ b/src/entry/forwarder.cc
@@ -116,13 +116,14 @@
   std::uint32_t m_attempts = 0;
   Verdict m_verdict = Verdict::kNotRun;  // of all attempts
   limits::Permit m_region_permit;
+  limits::Permit m_slot_permit;
 
   // Verdict of a refusal before the store of claims was asked. An earlier
   // attempt with the same key may have run through another entry host; only a
-  // caller that sends the first one can be told "not run".
+  // caller that states that none can have run is told "not run".
   Verdict UnclaimedVerdict() const {
     const bool is_known =
-        m_is_repeatable || m_is_claimed || m_route.m_is_first_attempt;
+        m_is_repeatable || m_is_claimed || m_route.m_has_no_earlier_run;
     return is_known ? Verdict::kNotRun : Verdict::kMayHaveRun;
   }
 };
@@ -139,8 +140,9 @@
 asio::awaitable<void> Forwarder::Handle(net::HttpExchange& exchange) {
   Result<Route> route = ParseRoute(exchange.Head());
   if (!route) {
-    co_await Refuse(exchange, {.m_status = StatusOf(route.error().m_code),
-                               .m_reason = route.error().m_message});
+    const Refusal refusal{.m_status = StatusOf(route.error().m_code),
+                          .m_reason = route.error().m_message};
+    co_await Refuse(exchange, refusal);
     co_return;
   }
   Request request;
@@ -222,6 +224,7 @@
            request::Remaining(request.m_deadline, request.m_received)});
   if (answer == steering::AdmissionAnswer::kAdmitted)
     return std::nullopt;
+  NoteRefusedDemand(view, *service);
   return Refusal{.m_status = 503,
                  .m_verdict = request.UnclaimedVerdict(),
                  .m_reason = std::string(steering::ToString(answer)),
@@ -327,6 +330,7 @@
     request.m_tried.push_back(selection->m_instance);
     AttemptResult result = co_await Attempt(exchange, request, *selection);
     request.m_region_permit.Reset();
+    request.m_slot_permit.Reset();
     request.m_verdict = request::Combine(request.m_verdict,
                                          request::VerdictOf(result.m_attempt));
     if (!result.m_failure) {
@@ -342,6 +346,7 @@
 
 std::optional<steering::Selection> Forwarder::Select(Request& request) {
   std::vector<RegionId> closed;
+  std::vector<InstanceId> excluded = request.m_tried;
   const rcu::ReadSection section;
   const ServingView& view = m_shared.m_view.Read(section);
   const steering::ServiceUpstreams* service =
@@ -351,19 +356,45 @@
     std::optional<steering::Selection> selection =
         m_selector.Select(*service, {.m_now = now,
                                      .m_weights = request.m_weights,
-                                     .m_tried = request.m_tried,
+                                     .m_tried = excluded,
                                      .m_closed = closed});
-    if (!selection || view.m_limits == nullptr)
+    if (!selection) {
+      NoteRefusedDemand(view, *service);
+      return std::nullopt;
+    }
+    if (view.m_limits == nullptr)
       return selection;
+    request.m_slot_permit = view.m_limits->TryAcquire(
+        limits::SlotLimit(request.m_route.m_service, selection->m_instance), 1,
+        now);
+    if (!request.m_slot_permit) {
+      excluded.push_back(selection->m_instance);
+      continue;
+    }
     request.m_region_permit = view.m_limits->TryAcquire(
         limits::RegionLimit(selection->m_region), 1, now);
     if (request.m_region_permit)
       return selection;
+    request.m_slot_permit.Reset();
     closed.push_back(selection->m_region);
   }
   return std::nullopt;
 }
 
+void Forwarder::NoteRefusedDemand(const ServingView& view,
+                                  const steering::ServiceUpstreams& service) {
+  if (view.m_limits == nullptr || service.m_upstreams.empty())
+    return;
+  // A failed acquisition counts as demand in the next renewal. Instances take
+  // turns, so that the demand of a service spreads over them.
+  const std::size_t turn = m_next_refusal++ % service.m_upstreams.size();
+  const Announcement& instance =
+      service.m_upstreams[turn].m_member.m_announcement;
+  (void)view.m_limits->TryAcquire(
+      limits::SlotLimit(instance.m_service, instance.m_instance), 1,
+      MonoClock::now());
+}
+
 asio::awaitable<AttemptResult> Forwarder::Attempt(
     net::HttpExchange& exchange,
     Request& request,
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -55,6 +55,8 @@
                                                 Request& request,
                                                 steering::Selection& selection);
   std::optional<steering::Selection> Select(Request& request);
+  void NoteRefusedDemand(const ServingView& view,
+                         const steering::ServiceUpstreams& service);
   bool MayRetry(Request& request, const AttemptResult& result);
   boost::asio::awaitable<void> RespondWithAnswer(net::HttpExchange& exchange,
                                                  Request& request,
@@ -71,6 +73,7 @@
   EntryShared& m_shared;
   ClaimClient& m_claims;
   ConnectionPool m_pool;
+  std::size_t m_next_refusal = 0;
   steering::Selector<steering::HeadroomLatencyPolicy> m_selector;
 };
 
--- a/src/entry/lookup_handler.cc
+++ b/src/entry/lookup_handler.cc
@@ -37,8 +37,9 @@
 asio::awaitable<void> LookupHandler::Handle(net::HttpExchange& exchange) {
   const Result<LookupAnswer> answer = Find(exchange);
   if (!answer) {
-    co_await Refuse(exchange, {.m_status = StatusOf(answer.error().m_code),
-                               .m_reason = answer.error().m_message});
+    const Refusal refusal{.m_status = StatusOf(answer.error().m_code),
+                          .m_reason = answer.error().m_message};
+    co_await Refuse(exchange, refusal);
     co_return;
   }
   m_shared.m_lookups.Add();
--- a/src/entry/platform_handler.cc
+++ b/src/entry/platform_handler.cc
@@ -45,7 +45,8 @@
     co_return;
   }
   m_on_announcement(announcement.value());
-  co_await exchange.Respond({.m_status = 204}, "");
+  ResponseHead accepted{.m_status = 204};
+  co_await exchange.Respond(std::move(accepted), "");
 }
 
 }  // namespace jujube::entry
--- a/src/entry/route.cc
+++ b/src/entry/route.cc
@@ -10,11 +10,12 @@
 constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
 constexpr std::string_view kKeyField = "Idempotency-Key";
 constexpr std::string_view kTraceField = "traceparent";
-constexpr std::string_view kAttemptField = "Jujube-Attempt";
+constexpr std::string_view kEarlierField = "Jujube-Earlier-Attempts";
 
 bool IsReplaced(std::string_view name) {
   return net::IsHopByHop(name) || net::EqualsIgnoreCase(name, kDeadlineField) ||
-         net::EqualsIgnoreCase(name, kTraceField);
+         net::EqualsIgnoreCase(name, kTraceField) ||
+         net::EqualsIgnoreCase(name, kEarlierField);
 }
 
 }  // namespace
@@ -38,8 +39,8 @@
     JUJUBE_TRY(route.m_stated_deadline, request::ParseDeadlineMs(*deadline));
   }
   route.m_key = net::FindHeader(head.m_headers, kKeyField).value_or("");
-  route.m_is_first_attempt =
-      net::FindHeader(head.m_headers, kAttemptField) == "1";
+  route.m_has_no_earlier_run =
+      net::FindHeader(head.m_headers, kEarlierField) == "not-run";
   return route;
 }
 
--- a/src/entry/route.h
+++ b/src/entry/route.h
@@ -18,8 +18,9 @@
   ServiceId m_service;   // from /s/{service}/...
   std::string m_target;  // the rest, with a leading slash and the query
   std::optional<std::chrono::milliseconds> m_stated_deadline;
-  std::string m_key;                // Idempotency-Key; empty if absent
-  bool m_is_first_attempt = false;  // Jujube-Attempt: 1, none was sent before
+  std::string m_key;  // Idempotency-Key; empty if absent
+  // Jujube-Earlier-Attempts: not-run, so no earlier attempt can have run.
+  bool m_has_no_earlier_run = false;
 
   friend auto operator<=>(const Route&, const Route&) = default;
 };
--- a/src/feed/publisher.cc
+++ b/src/feed/publisher.cc
@@ -35,7 +35,9 @@
             " does not lead from index " + std::to_string(Index()) + " to " +
             std::to_string(state->m_index));
   }
-  Append(change);
+  // A subscriber without a state gets the first one as a snapshot.
+  if (m_state)
+    Append(change);
   m_state = std::move(state);
   return Success();
 }
--- a/src/limits/allotment_holder.cc
+++ b/src/limits/allotment_holder.cc
@@ -82,7 +82,9 @@
           .m_cap = tracked.m_limit.m_cap,
           .m_availability_zone = tracked.m_limit.m_zone,
           .m_in_use = usage.m_in_use,
-          .m_wanted = tracked.m_forgotten ? 0 : usage.m_wanted};
+          .m_wanted = tracked.m_forgotten
+                          ? 0
+                          : std::max(usage.m_wanted, tracked.m_limit.m_floor)};
 }
 
 bool AllotmentHolder::OnReply(const AllotmentReply& reply) {
--- a/src/limits/allotment_holder.h
+++ b/src/limits/allotment_holder.h
@@ -36,6 +36,10 @@
   LimitId m_limit;
   std::uint64_t m_cap = 0;    // announced; 0 if the document names it
   AvailabilityZoneId m_zone;  // of the instance; empty for other limits
+  // Units that are asked for without any use, so that a host has some before
+  // its first request. A cap is divided by need, so this takes nothing from
+  // hosts that use what they ask for beyond an equal share.
+  std::uint64_t m_floor = 0;
 
   friend auto operator<=>(const TrackedLimit&, const TrackedLimit&) = default;
 };
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -1,9 +1,13 @@
 // HttpExchange: one request of a caller and the response to it.
 //
 //   asio::awaitable<void> Handle(HttpExchange& exchange) {
-//     co_await exchange.Respond({.m_status = 200}, "hello\n");
+//     ResponseHead head{.m_status = 200};
+//     co_await exchange.Respond(std::move(head), "hello\n");
 //   }
 //
+// Name arguments that are aggregates, as above: GCC 12 destroys a braced
+// temporary in a co_await expression twice.
+//
 // Belongs to the thread of its connection. A handler that returns without a
 // finished response closes the connection, so that the caller never takes a
 // truncated response for a whole one.
--- a/src/standin/load.cc
+++ b/src/standin/load.cc
@@ -169,8 +169,11 @@
       break;
     if (i > 0)
       ++m_report.m_resent;
+    net::HttpRequest attempt = request;
+    if (i == 0 || outcome == Outcome::kNotRun)
+      attempt.m_headers.push_back({"Jujube-Earlier-Attempts", "not-run"});
     outcome = co_await Attempt(connections, targets[i % targets.size()],
-                               request, deadline);
+                               std::move(attempt), deadline);
     if (outcome != Outcome::kNotRun && outcome != Outcome::kFailed)
       break;
   }
