Fix the linter's findings in the look-up and trace headers

Cause: clang-tidy 14 reports modernize-use-nullptr on four defaulted comparisons, which contain no pointer; a test had a misnamed constant. Change: the four lines name the false finding; the test builds paths in a function.

--- a/src/lookup/address.h
+++ b/src/lookup/address.h
@@ -26,6 +26,8 @@
   // Value as a number in host byte order.
   Uint128 Number() const { return (Uint128{m_high} << 64U) | m_low; }
 
+  // clang-tidy 14 takes a zero in the defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Address&, const Address&) = default;
 };
 
--- a/src/lookup/prefix.h
+++ b/src/lookup/prefix.h
@@ -19,6 +19,8 @@
   Uint128 First() const { return m_network.Number(); }
   Uint128 Last() const;
 
+  // clang-tidy 14 takes a zero in the defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Prefix&, const Prefix&) = default;
 };
 
--- a/src/lookup/table.h
+++ b/src/lookup/table.h
@@ -69,6 +69,8 @@
     ServiceId m_name;
     std::chrono::milliseconds m_lifetime{0};
 
+    // clang-tidy 14 takes a zero in the defaulted comparison for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const ServiceEntry&, const ServiceEntry&) = default;
   };
 
--- a/src/observe/trace.h
+++ b/src/observe/trace.h
@@ -99,6 +99,8 @@
   std::string m_name;  // for example "upstream.instance"
   SpanValue m_value;
 
+  // clang-tidy 14 takes a zero in the defaulted comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const SpanAttribute&, const SpanAttribute&) = default;
 };
 
--- a/tests/unit/lookup_examples_test.cc
+++ b/tests/unit/lookup_examples_test.cc
@@ -1,5 +1,6 @@
 #include <map>
 #include <string>
+#include <string_view>
 
 #include <gtest/gtest.h>
 
@@ -12,11 +13,15 @@
 namespace {
 
 constexpr std::size_t kMaxBytes = 1U << 20U;
-const std::string kExamples = std::string(JUJUBE_SOURCE_DIR) + "/examples/";
+std::string PathOf(std::string_view file) {
+  std::string path = JUJUBE_SOURCE_DIR "/examples/";
+  path += file;
+  return path;
+}
 
 template <class T>
 Result<T> Load(const std::string& file) {
-  JUJUBE_TRY(const std::string text, ReadFile(kExamples + file, kMaxBytes));
+  JUJUBE_TRY(const std::string text, ReadFile(PathOf(file), kMaxBytes));
   return ParseDocument<T>(text, file);
 }
 
@@ -37,14 +42,15 @@
     EXPECT_EQ(LoadError<ControlSettings>(GetParam() + "/control-" +
                                          std::to_string(i) + ".json"),
               "");
-  for (const std::string key : {"peer", "platform", "operator"})
-    EXPECT_TRUE(ReadKeyFile(kExamples + "keys/" + key + ".key"));
+  for (const auto* key :
+       {"keys/peer.key", "keys/platform.key", "keys/operator.key"})
+    EXPECT_TRUE(ReadKeyFile(PathOf(key)));
 }
 
 // Guards against a template and a list that do not make settings together.
 TEST_P(Examples, EveryUpstreamIsAccepted) {
   const auto read = [](const std::string& file) {
-    const std::string text = ReadFile(kExamples + file, kMaxBytes).value();
+    const std::string text = ReadFile(PathOf(file), kMaxBytes).value();
     return ParseJsonText(text, file).value();
   };
   const auto common = read(GetParam() + "/upstream-template.json");
