Test the delay between regions and full lists within one zone

Cause: on a scratch copy without either mechanism, no test failed. Change: two tests of the look-up table.

--- a/tests/unit/lookup_table_test.cc
+++ b/tests/unit/lookup_table_test.cc
@@ -94,6 +94,24 @@
   EXPECT_EQ(hosts[3].substr(0, 2), "r1");
 }
 
+// Guards against an order between regions that ignores the delay of the link.
+TEST(LookupTable, NearerRegionsComeFirstInEveryList) {
+  const Table table = Build(MakeDeployment(1));
+  for (int block = 0; block < 256; ++block) {
+    const auto hosts = HostsFor(table, "10.0." + std::to_string(block) + ".1");
+    EXPECT_EQ(hosts[2].substr(0, 2), "r1");
+    EXPECT_EQ(hosts[3].substr(0, 2), "r1");
+  }
+}
+
+// Guards against short lists where all hosts share a zone.
+TEST(LookupTable, BoundsDoNotShortenAList) {
+  Deployment deployment = MakeDeployment(5);
+  deployment.m_entry_hosts.resize(5);
+  EXPECT_EQ(HostsFor(Build(deployment), kCallerOfFirstZone).size(),
+            kListLength);
+}
+
 // Guards against lists that fail together with a zone or a region.
 TEST(LookupTable, EachListSurvivesTheLossOfAZoneAndOfARegion) {
   const Deployment deployment = MakeDeployment(20);
