--- a/fuzz/wire_fuzz.cc
+++ b/fuzz/wire_fuzz.cc
@@ -4,7 +4,7 @@
 //   cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++-14 \
 //     -DJUJUBE_FUZZ=ON -DJUJUBE_BENCH=OFF
 //   ninja -C build-fuzz wire_fuzz
-//   build-fuzz/wire_fuzz -seed=1 -runs=2000000 -max_len=4096 -rss_limit_mb=512
+//   build-fuzz/wire_fuzz -seed=1 -runs=300000 -max_len=4096 -rss_limit_mb=512
 //
 // The first two bytes select a decoder; the rest is its input.
 
--- a/src/net/frame_client.cc
+++ b/src/net/frame_client.cc
@@ -66,7 +66,7 @@
             RawCallback callback);
   void Expire(std::uint64_t correlation);
   void Complete(std::uint64_t correlation,
-                CallResult<std::string> result,
+                const CallResult<std::string>& result,
                 std::uint16_t type);
   void FailLater(RawCallback callback, Error error);
   void FailAll(const std::shared_ptr<FrameConnection>& connection);
@@ -264,7 +264,7 @@
 }
 
 void FrameClient::Impl::Complete(std::uint64_t correlation,
-                                 CallResult<std::string> result,
+                                 const CallResult<std::string>& result,
                                  std::uint16_t type) {
   const auto found = m_pending.find(correlation);
   if (found == m_pending.end())
