--- a/src/steering/region_measurement.h
+++ b/src/steering/region_measurement.h
@@ -17,9 +17,9 @@
   std::uint32_t m_usable = 0;       // slots that may be used there
   std::uint32_t m_refused = 0;      // requests refused for lack of slots
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default
+  // modernize-use-nullptr raises a false alarm on a default.
   friend auto operator<=>(const RegionMeasurement&,
-                          const RegionMeasurement&) = default;
+                          const RegionMeasurement&) = default;  // NOLINT
 };
 
 }  // namespace jujube::steering
--- a/src/steering/service_upstreams.h
+++ b/src/steering/service_upstreams.h
@@ -17,9 +17,9 @@
   std::vector<Upstream> m_upstreams;      // ordered by instance
   std::shared_ptr<RetryBudget> m_budget;  // never null; outlives the view
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default
+  // modernize-use-nullptr raises a false alarm on a default.
   friend auto operator<=>(const ServiceUpstreams&,
-                          const ServiceUpstreams&) = default;
+                          const ServiceUpstreams&) = default;  // NOLINT
 };
 
 }  // namespace jujube::steering
