--- a/src/steering/service_upstreams.h
+++ b/src/steering/service_upstreams.h
@@ -17,8 +17,9 @@
   std::vector<Upstream> m_upstreams;      // ordered by instance
   std::shared_ptr<RetryBudget> m_budget;  // never null; outlives the view
 
+  // modernize-use-nullptr raises a false alarm on a default.
   friend auto operator<=>(const ServiceUpstreams&,
-                          const ServiceUpstreams&) = default;
+                          const ServiceUpstreams&) = default;  // NOLINT
 };
 
 }  // namespace jujube::steering
