--- a/src/consensus/actions.h
+++ b/src/consensus/actions.h
@@ -93,7 +93,7 @@
   std::vector<std::uint64_t> m_reads;  // tokens; state after m_apply is current
   bool m_foreign = false;  // a message for another folder identity was dropped
 
-  friend auto operator<=>(const Actions&, const Actions&) = default;
+  friend bool operator==(const Actions&, const Actions&) = default;
 };
 
 }  // namespace jujube::consensus
--- a/src/storage/log_store_impl.h
+++ b/src/storage/log_store_impl.h
@@ -221,7 +221,7 @@
 StorageStatus LogStore<D>::StartSegment(std::uint64_t number) {
   const std::string name = SegmentName(number);
   const std::string head = SegmentHead(number);
-  const StorageStatus appended = m_disk.Append(name, head);
+  StorageStatus appended = m_disk.Append(name, head);
   if (!appended) {
     if (m_disk.Size(name)) {
       JUJUBE_TRY(m_disk.Remove(name));
@@ -250,7 +250,7 @@
 StorageStatus LogStore<D>::AppendOrUndo(const std::string& bytes) {
   auto& [number, segment] = *m_segments.rbegin();
   const std::string name = SegmentName(number);
-  const StorageStatus appended = m_disk.Append(name, bytes);
+  StorageStatus appended = m_disk.Append(name, bytes);
   if (!appended) {
     JUJUBE_TRY(m_disk.Truncate(name, segment.m_bytes));
     return appended;
@@ -309,7 +309,7 @@
   if (m_disk.Size(kWriteName)) {
     JUJUBE_TRY(m_disk.Remove(kWriteName));
   }
-  const StorageStatus appended = m_disk.Append(kWriteName, data);
+  StorageStatus appended = m_disk.Append(kWriteName, data);
   if (!appended) {
     JUJUBE_TRY(m_disk.Remove(kWriteName));
     return appended;
@@ -351,8 +351,7 @@
                                 std::to_string(info.m_last_index) +
                                 " is older than the newest one");
   JUJUBE_TRY(const std::uint64_t size, m_disk.Size(temporary));
-  const StorageStatus published =
-      Watch(PublishSnapshot(m_disk, temporary, info));
+  StorageStatus published = Watch(PublishSnapshot(m_disk, temporary, info));
   if (!published) {
     // Leaves the received data as it was, so the call can be repeated.
     if (published.error().m_fault == StorageFault::kFull) {
--- a/tests/unit/consensus_replica_test.cc
+++ b/tests/unit/consensus_replica_test.cc
@@ -5,15 +5,15 @@
 namespace jujube::consensus {
 namespace {
 
-const VoterId kA{{"c0"}, 100};
-const VoterId kB{{"c1"}, 101};
-const VoterId kC{{"c2"}, 102};
-const Voters kThree{.m_voters = {kA, kB, kC}};
+const VoterId voter_a{{"c0"}, 100};
+const VoterId voter_b{{"c1"}, 101};
+const VoterId voter_c{{"c2"}, 102};
+const Voters three_voters{.m_voters = {voter_a, voter_b, voter_c}};
 constexpr MonoTime kStart{};
 
 RestoredState Restored(std::uint64_t term, std::uint64_t entries) {
   RestoredState state{.m_state = {.m_term = term},
-                      .m_snapshot = SnapshotInfo{.m_voters = kThree}};
+                      .m_snapshot = SnapshotInfo{.m_voters = three_voters}};
   for (std::uint64_t index = 1; index <= entries; ++index)
     state.m_entries.push_back({.m_index = index, .m_term = term});
   return state;
@@ -34,34 +34,35 @@
   replica->Step(replica->NextDeadline(), Tick{});
   const std::uint64_t term = replica->Status().m_term + 1;
   const MonoTime now = replica->NextDeadline();
-  replica->Step(now, Received{VoteReply{kB, kA, term, true, true}});
+  replica->Step(now, Received{VoteReply{voter_b, voter_a, term, true, true}});
   replica->Step(now, SyncDone{1});
-  return replica->Step(now, Received{VoteReply{kB, kA, term, false, true}});
+  return replica->Step(
+      now, Received{VoteReply{voter_b, voter_a, term, false, true}});
 }
 
 // Guards against a second vote in a term after a crash: the vote is durable
 // before it is sent.
 TEST(ConsensusReplica, VoteIsSentOnlyAfterItIsSynced) {
-  Replica replica(kA, {}, Restored(1, 2), kStart);
+  Replica replica(voter_a, {}, Restored(1, 2), kStart);
   const Actions asked =
-      replica.Step(kStart, Received{VoteRequest{kB, kA, 2, 2, 1}});
+      replica.Step(kStart, Received{VoteRequest{voter_b, voter_a, 2, 2, 1}});
   EXPECT_TRUE(asked.m_send.empty());
   ASSERT_TRUE(asked.m_persist);
-  EXPECT_EQ(asked.m_persist->m_state, (HardState{2, kB}));
+  EXPECT_EQ(asked.m_persist->m_state, (HardState{2, voter_b}));
   const auto replies = SentOf<VoteReply>(replica.Step(kStart, SyncDone{1}));
   ASSERT_EQ(replies.size(), 1U);
   EXPECT_TRUE(replies[0].m_granted);
   // One vote a term.
   const auto second = SentOf<VoteReply>(
-      replica.Step(kStart, Received{VoteRequest{kC, kA, 2, 9, 1}}));
+      replica.Step(kStart, Received{VoteRequest{voter_c, voter_a, 2, 9, 1}}));
   EXPECT_FALSE(second.at(0).m_granted);
 }
 
 // Guards against a leader that lacks committed entries.
 TEST(ConsensusReplica, CandidateWithAnOlderLogGetsNoVote) {
   for (const auto& [index, term] : {std::pair{1, 3}, std::pair{9, 2}}) {
-    Replica replica(kA, {}, Restored(3, 2), kStart);
-    VoteRequest request{kB, kA, 4};
+    Replica replica(voter_a, {}, Restored(3, 2), kStart);
+    VoteRequest request{voter_b, voter_a, 4};
     request.m_last_index = static_cast<std::uint64_t>(index);
     request.m_last_term = static_cast<std::uint64_t>(term);
     replica.Step(kStart, Received{request});
@@ -72,8 +73,8 @@
 
 // Guards against counting an entry that a crash of the follower can still lose.
 TEST(ConsensusReplica, AppendIsConfirmedOnlyAfterItIsSynced) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
-  AppendRequest request{kB, kA, 1};
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
+  AppendRequest request{voter_b, voter_a, 1};
   request.m_entries = {{.m_index = 1, .m_term = 1}};
   request.m_commit_index = 1;
   const Actions received = replica.Step(kStart, Received{request});
@@ -88,12 +89,12 @@
 // Guards against an entry of an earlier term that is reported as committed and
 // then replaced by a leader that lacks it.
 TEST(ConsensusReplica, OnlyEntriesOfTheOwnTermAreCommittedByCounting) {
-  Replica replica(kA, {}, Restored(1, 2), kStart);
+  Replica replica(voter_a, {}, Restored(1, 2), kStart);
   const Actions elected = Elect(&replica);
   ASSERT_EQ(replica.Status().m_role, Role::kLeader);
   const MonoTime now = replica.NextDeadline();
   replica.Step(now, SyncDone{elected.m_persist->m_number});
-  AppendReply reply{kB, kA, 2, true, 2};
+  AppendReply reply{voter_b, voter_a, 2, true, 2};
   EXPECT_TRUE(replica.Step(now, Received{reply}).m_apply.empty());
   EXPECT_EQ(replica.Status().m_commit_index, 0U);
   reply.m_match_index = 3;
@@ -102,10 +103,10 @@
 
 // Guards against a leader that commits with an entry that it could lose.
 TEST(ConsensusReplica, LeaderCountsItselfOnlyAfterItsSync) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
   const Actions elected = Elect(&replica);
   const MonoTime now = replica.NextDeadline();
-  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  replica.Step(now, Received{AppendReply{voter_b, voter_a, 2, true, 1}});
   EXPECT_EQ(replica.Status().m_commit_index, 0U);
   replica.Step(now, SyncDone{elected.m_persist->m_number});
   EXPECT_EQ(replica.Status().m_commit_index, 1U);
@@ -113,10 +114,10 @@
 
 // Guards against a replaced disk that answers for the identity it replaced.
 TEST(ConsensusReplica, MessageToAnotherFolderIsDropped) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
   const VoterId replaced{{"c0"}, 555};
   const Actions actions =
-      replica.Step(kStart, Received{VoteRequest{kB, replaced, 7}});
+      replica.Step(kStart, Received{VoteRequest{voter_b, replaced, 7}});
   EXPECT_TRUE(actions.m_foreign);
   EXPECT_EQ(actions.m_persist, std::nullopt);
   EXPECT_EQ(replica.Status().m_term, 1U);
@@ -124,8 +125,8 @@
 
 // Guards against a message with a gap between its entries.
 TEST(ConsensusReplica, EntriesOutOfSequenceAreIgnored) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
-  AppendRequest request{kB, kA, 1};
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
+  AppendRequest request{voter_b, voter_a, 1};
   request.m_entries = {{.m_index = 5, .m_term = 1}};
   EXPECT_EQ(replica.Step(kStart, Received{request}), Actions{});
 }
@@ -134,7 +135,8 @@
 TEST(ConsensusReplica, ElectionTimeoutsDiffer) {
   std::set<MonoTime> deadlines;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    const Replica replica(kA, {.m_random_seed = seed}, Restored(1, 0), kStart);
+    const Replica replica(voter_a, {.m_random_seed = seed}, Restored(1, 0),
+                          kStart);
     deadlines.insert(replica.NextDeadline());
     EXPECT_GE(replica.NextDeadline(), kStart + milliseconds(500));
     EXPECT_LT(replica.NextDeadline(), kStart + milliseconds(1000));
@@ -144,10 +146,11 @@
 
 // Guards against unbounded memory for a follower that does not answer.
 TEST(ConsensusReplica, MessagesInFlightAreBounded) {
-  Replica replica(kA, {.m_max_messages_in_flight = 4}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {.m_max_messages_in_flight = 4}, Restored(1, 0),
+                  kStart);
   Elect(&replica);
   const MonoTime now = replica.NextDeadline();
-  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  replica.Step(now, Received{AppendReply{voter_b, voter_a, 2, true, 1}});
   std::size_t sent = 0;
   for (int i = 0; i < 20; ++i)
     sent += SentOf<AppendRequest>(replica.Step(now, Propose{1, "x"})).size();
@@ -155,7 +158,8 @@
 }
 
 TEST(ConsensusReplica, UncommittedBytesAreBounded) {
-  Replica replica(kA, {.m_max_uncommitted_bytes = 10}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {.m_max_uncommitted_bytes = 10}, Restored(1, 0),
+                  kStart);
   Elect(&replica);
   const MonoTime now = replica.NextDeadline();
   replica.Step(now, Propose{1, "12345678"});
@@ -178,10 +182,10 @@
 
 // Guards against a vote for a candidate that cannot hear a live leader.
 TEST(ConsensusReplica, VoteRequestIsIgnoredWhileALeaderIsHeard) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
-  replica.Step(kStart, Received{AppendRequest{kB, kA, 1}});
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
+  replica.Step(kStart, Received{AppendRequest{voter_b, voter_a, 1}});
   const Actions actions =
-      replica.Step(kStart, Received{VoteRequest{kC, kA, 5}});
+      replica.Step(kStart, Received{VoteRequest{voter_c, voter_a, 5}});
   EXPECT_EQ(actions, Actions{});
   EXPECT_EQ(replica.Status().m_term, 1U);
 }
@@ -205,7 +209,7 @@
 
 // Guards against a frozen leader that acts on the first event after it resumed.
 TEST(ConsensusReplica, ResumedLeaderRefusesTheFirstProposal) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
   Elect(&replica);
   const Actions actions =
       replica.Step(replica.NextDeadline() + milliseconds(600), Propose{1, "x"});
@@ -224,11 +228,11 @@
 
 // Guards against a read confirmed by an answer to an earlier round.
 TEST(ConsensusReplica, ReadNeedsARoundThatStartedAfterIt) {
-  Replica replica(kA, {}, Restored(1, 0), kStart);
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
   const Actions elected = Elect(&replica);
   const MonoTime now = replica.NextDeadline();
   replica.Step(now, SyncDone{elected.m_persist->m_number});
-  AppendReply reply{kB, kA, 2, true, 1};
+  AppendReply reply{voter_b, voter_a, 2, true, 1};
   replica.Step(now, Received{reply});
   replica.Step(now, Read{7});
   EXPECT_TRUE(replica.Step(now, Received{reply}).m_reads.empty());
@@ -298,11 +302,11 @@
 TEST(ConsensusReplica, SecondFolderOfAHostIsNotPromoted) {
   RestoredState state = Restored(1, 0);
   state.m_snapshot->m_voters.m_learners = {VoterId{{"c1"}, 900}};
-  Replica replica(kA, {}, state, kStart);
+  Replica replica(voter_a, {}, state, kStart);
   const Actions elected = Elect(&replica);
   const MonoTime now = replica.NextDeadline();
   replica.Step(now, SyncDone{elected.m_persist->m_number});
-  replica.Step(now, Received{AppendReply{kB, kA, 2, true, 1}});
+  replica.Step(now, Received{AppendReply{voter_b, voter_a, 2, true, 1}});
   const Actions actions = replica.Step(
       now, ChangeMembership{1, MembershipStep::kPromote, {{"c1"}, 900}});
   EXPECT_EQ(actions.m_refused.at(0).m_error.m_code, ErrorCode::kConflict);
@@ -357,27 +361,28 @@
 
 // Guards against a data folder that was restored from an old copy.
 TEST(ConsensusStartRegistry, LowerStartCountIsRefused) {
-  StartRegistry registry({.m_peers = {{.m_replica = kA, .m_starts = 4}}});
-  EXPECT_FALSE(registry.Observe({.m_replica = kA, .m_starts = 3}));
-  EXPECT_TRUE(registry.Observe({.m_replica = kA, .m_starts = 4}));
+  StartRegistry registry({.m_peers = {{.m_replica = voter_a, .m_starts = 4}}});
+  EXPECT_FALSE(registry.Observe({.m_replica = voter_a, .m_starts = 3}));
+  EXPECT_TRUE(registry.Observe({.m_replica = voter_a, .m_starts = 4}));
   EXPECT_FALSE(registry.TakeChanged());
-  EXPECT_TRUE(registry.Observe({.m_replica = kA, .m_starts = 6}));
+  EXPECT_TRUE(registry.Observe({.m_replica = voter_a, .m_starts = 6}));
   EXPECT_TRUE(registry.TakeChanged());
   StartRegistry stored(registry.Snapshot());
-  EXPECT_FALSE(stored.Observe({.m_replica = kA, .m_starts = 5}));
+  EXPECT_FALSE(stored.Observe({.m_replica = voter_a, .m_starts = 5}));
 }
 
 // Guards against hosts with lost disks that found a second log.
 TEST(ConsensusFounding, OnlyWithAllHostsAndOnlyIfAllAreEmpty) {
   const std::vector<HostId> hosts = {{"c0"}, {"c1"}};
-  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = kA}}).m_step,
+  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = voter_a}}).m_step,
             FoundingStep::kWait);
-  const std::vector<Introduction> empty = {{.m_replica = kB},
-                                           {.m_replica = kA}};
+  const std::vector<Introduction> empty = {{.m_replica = voter_b},
+                                           {.m_replica = voter_a}};
   EXPECT_EQ(DecideFounding(hosts, empty).m_voters.m_voters,
-            (std::vector<VoterId>{kA, kB}));
-  const Introduction founded{.m_replica = kB, .m_starts = 2, .m_founded = true};
-  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = kA}, founded}).m_step,
+            (std::vector<VoterId>{voter_a, voter_b}));
+  const Introduction founded{
+      .m_replica = voter_b, .m_starts = 2, .m_founded = true};
+  EXPECT_EQ(DecideFounding(hosts, {{.m_replica = voter_a}, founded}).m_step,
             FoundingStep::kJoin);
 }
 
--- a/tests/unit/storage_log_store_test.cc
+++ b/tests/unit/storage_log_store_test.cc
@@ -12,7 +12,7 @@
 using Store = LogStore<FakeDiskRef>;
 
 constexpr std::uint64_t kIdentity = 77;
-const std::string kFirstSegment = "log-0000000000000001";
+const std::string first_segment = "log-0000000000000001";
 
 StorageResult<Store> TryOpen(FakeDisk* disk,
                              std::uint64_t segment_bytes = 400) {
@@ -107,7 +107,7 @@
     Store store = MustOpen(&disk, 4000);
     Write(&store, Entries(1, 4, 1));
   }
-  const std::uint64_t size = disk.Size(kFirstSegment).value();
+  const std::uint64_t size = disk.Size(first_segment).value();
   const std::uint64_t last_record =
       EncodeRecord(ToRecord(Entries(4, 4, 1)[0]), kIdentity).size();
   for (std::uint64_t offset = 0; offset < size - last_record; ++offset) {
@@ -117,12 +117,12 @@
       const auto bytes = disk.Read(name, 0, UINT64_MAX).value();
       ASSERT_TRUE(damaged.Append(name, bytes));
     }
-    damaged.FlipByte(kFirstSegment, offset);
+    damaged.FlipByte(first_segment, offset);
     const auto store = TryOpen(&damaged);
     ASSERT_FALSE(store) << offset;
     EXPECT_EQ(store.error().m_fault, StorageFault::kCorrupt);
   }
-  disk.FlipByte(kFirstSegment, size - 1);
+  disk.FlipByte(first_segment, size - 1);
   EXPECT_EQ(MustOpen(&disk).TakeRecovered().m_entries, Entries(1, 3, 1));
 }
 
@@ -132,7 +132,7 @@
     Store store = MustOpen(&disk);
     Write(&store, Entries(1, 30, 1));
   }
-  disk.FlipByte(kFirstSegment, disk.Size(kFirstSegment).value() - 1);
+  disk.FlipByte(first_segment, disk.Size(first_segment).value() - 1);
   EXPECT_EQ(TryOpen(&disk).error().m_fault, StorageFault::kCorrupt);
 }
 
@@ -194,7 +194,7 @@
                 "append snapshot-write.tmp", "append snapshot-write.tmp",
                 "sync snapshot-write.tmp", "rename snapshot-0000000000000023",
                 "sync folder", "append " + newest, "sync " + newest,
-                "remove " + kFirstSegment}));
+                "remove " + first_segment}));
   disk.Crash();
   Store reopened = MustOpen(&disk);
   const RecoveredLog recovered = reopened.TakeRecovered();
