Strengthen the tests of claims, grants and host leases

Cause: scratch copies without the attempt check, the version check of a grant and the compare-exchange passed the random tests; HostWatch and large feed changes had no test. Change: the claim schedule repeats recent keys more often, the threaded test of a grant runs for a number of looks and takes whole grants, new tests for HostWatch and for a change that fits no frame.

--- a/tests/unit/control_claims_schedule_test.cc
+++ b/tests/unit/control_claims_schedule_test.cc
@@ -19,7 +19,7 @@
 
 constexpr std::uint64_t kStart = 1'700'000'000'000;
 constexpr std::uint64_t kRetentionMs = 10000;
-constexpr std::uint64_t kTimeStepMs = 40;
+constexpr std::uint64_t kTimeStepMs = 20;
 
 // Callers that send a few keys to three entry hosts again and again. Commands
 // and replies are delayed, repeated and lost; hosts crash, lose their lease and
@@ -82,10 +82,10 @@
     return UnixMillis(static_cast<UnixMillis::rep>(m_now));
   }
 
-  // Two new keys in each second; callers also repeat old ones.
+  // Two new keys in each second; callers also repeat the latest ones.
   void Send(std::size_t host, std::uint8_t amount) {
     const std::uint64_t second = (m_now - kStart) / 1000;
-    const std::uint64_t age = amount / 2 % 16;
+    const std::uint64_t age = amount / 2 % 4;
     const std::uint64_t issued =
         kStart + (second - std::min(second, age)) * 1000;
     m_attempts.push_back({.m_host = host,
@@ -124,7 +124,7 @@
     if (m_attempts.empty())
       return;
     const std::size_t at =
-        m_attempts.size() - 1 - amount / 4 % m_attempts.size();
+        m_attempts.size() - 1 - amount % 4 % m_attempts.size();
     Attempt& attempt = m_attempts[at];
     const bool alive =
         attempt.m_claim.m_incarnation == m_incarnations[attempt.m_host];
--- a/tests/unit/control_state_machine_test.cc
+++ b/tests/unit/control_state_machine_test.cc
@@ -4,12 +4,11 @@
 
 #include <gtest/gtest.h>
 
-#include "config/check.h"
 #include "config/digest.h"
 #include "control/command.h"
+#include "control/host_watch.h"
 #include "control/proposal.h"
 #include "control/snapshot.h"
-#include "gen/feed_wire.h"
 #include "unit/sample_deployment.h"
 
 namespace jujube::control {
@@ -174,6 +173,24 @@
   EXPECT_TRUE(change.m_deployment.m_blocks.empty());
 }
 
+// Guards against a change that no frame can carry: subscribers then need the
+// snapshot.
+TEST(ControlFeed, LargeChangeIsLeftOut) {
+  Driver driver = Started();
+  Deployment next = SampleDeployment(2);
+  for (int i = 0; i <= 100000; ++i)
+    next.m_blocks.push_back({"2001:" + std::to_string(i), {"depot-1"}});
+  next = config::Canonical(next);
+  const ApplyCommand command{.m_base_index = driver.m_index,
+                             .m_digest = config::DigestOf(next),
+                             .m_deployment = SampleDeployment(2),
+                             .m_upserted = next.m_blocks};
+  const CommandResult result = driver.Run(command);
+  EXPECT_TRUE(result.m_feed_changed);
+  EXPECT_FALSE(result.m_change);
+  EXPECT_EQ(driver.m_state.Feed().m_deployment, next);
+}
+
 TEST(ControlDrain, NamesAreCheckedAndRepeatsChangeNothing) {
   Driver driver = Started();
   DrainCommand drain{.m_drain = {DrainKind::kEntryHost, "e1"},
@@ -319,6 +336,23 @@
   EXPECT_TRUE(driver.Ask<RenewAnswers>(renew).empty());
 }
 
+// Guards against a new leader that takes every host for lost, and against a
+// host that is never reported.
+TEST(ControlHostWatch, SilenceCountsFromTheElection) {
+  const MonoTime start{std::chrono::seconds(100)};
+  HostWatch watch;
+  watch.OnElected({{.m_host = {"e1"}, .m_incarnation = 3, .m_alive = true},
+                   {.m_host = {"e2"}, .m_incarnation = 1}},
+                  start);
+  EXPECT_TRUE(watch.Lost(start + kHostLease - milliseconds(1)).empty());
+  const std::vector<LostHost> lost = {{{"e1"}, 3}};
+  EXPECT_EQ(watch.Lost(start + kHostLease), lost);
+  watch.OnRenewal({"e1"}, 2, start + kHostLease);  // an older incarnation
+  EXPECT_EQ(watch.Lost(start + kHostLease), lost);
+  watch.OnRenewal({"e1"}, 3, start + kHostLease);
+  EXPECT_TRUE(watch.Lost(start + kHostLease).empty());
+}
+
 TEST(ControlSnapshot, RestoresTheStateWithEqualBytes) {
   Driver driver = Started();
   Deployment document = SampleDeployment(2);
--- a/tests/unit/limits_table_test.cc
+++ b/tests/unit/limits_table_test.cc
@@ -88,9 +88,11 @@
 // its expiry and 1 after it.
 TEST(LimitsCell, ThreadsNeverExceedTheGrant) {
   constexpr std::uint64_t kMost = 4;
+  constexpr int kLooks = 200000;
   LimitCell cell;
   std::atomic<bool> stop = false;
   std::atomic<bool> exceeded = false;
+  std::atomic<int> looks = 0;
   std::vector<std::thread> workers;
   workers.reserve(3);
   for (int i = 0; i < 3; ++i) {
@@ -98,15 +100,16 @@
       while (!stop) {
         if (cell.Usable(kStart) > kMost)
           exceeded = true;
-        if (!cell.TryAcquire(2, kStart))
+        ++looks;
+        if (!cell.TryAcquire(kMost, kStart))
           continue;
         if (cell.InUse() > kMost)
           exceeded = true;
-        cell.Release(2);
+        cell.Release(kMost);
       }
     });
   }
-  for (int i = 0; i < 20000; ++i) {
+  while (looks < kLooks) {
     cell.Adopt({.m_safe = 1, .m_leased = 3, .m_expires = kStart + kLease});
     cell.Adopt({.m_safe = 1, .m_leased = 100, .m_expires = kStart});
   }
