Add the demo and stub options for measurements

Cause: one command has to show the whole path of an example, and measurements need cold starts, stuck load reports and the use of each instance.

--- a/src/daemons/caller.cc
+++ b/src/daemons/caller.cc
@@ -13,6 +13,7 @@
 DEFINE_string(entries, "", "entry hosts to ask, IP:PORT separated by commas");
 DEFINE_string(direct, "", "upstream to send to without the system, IP:PORT");
 DEFINE_string(service, "", "service to call");
+DEFINE_string(caller, "", "IP address that look-ups state");
 DEFINE_string(method, "GET", "HTTP method");
 DEFINE_string(path, "/load", "target below the service");
 DEFINE_uint32(body_bytes, 0, "size of the request body");
@@ -32,6 +33,7 @@
 jujube::Result<jujube::LoadOptions> OptionsFromFlags() {
   jujube::LoadOptions options{
       .m_service = {FLAGS_service},
+      .m_caller = FLAGS_caller,
       .m_method = FLAGS_method,
       .m_path = FLAGS_path,
       .m_body_bytes = FLAGS_body_bytes,
--- a/src/gen/load.h
+++ b/src/gen/load.h
@@ -37,6 +37,8 @@
   std::optional<Endpoint>
       m_direct;         // upstream to send to without the system, as a baseline
   ServiceId m_service;  // service
+  std::string m_caller;  // IP address that look-ups state; empty states none
+                         // (at most 45)
   std::string m_method =
       "GET";  // HTTP method; others than GET carry an Idempotency-Key
   std::string m_path = "/load";  // target below the service
@@ -57,6 +59,19 @@
   friend auto operator<=>(const LoadOptions&, const LoadOptions&) = default;
 };
 
+// What a stub upstream has seen, at GET /standin/stats.
+struct UpstreamStats {
+  std::uint64_t m_ran = 0;          // requests that ran
+  std::uint64_t m_shed = 0;         // requests that were shed
+  std::uint32_t m_in_progress = 0;  // requests in progress
+  std::uint32_t m_peak_in_progress =
+      0;  // most requests in progress at the same time, shed ones included
+  std::uint32_t m_slots = 0;        // slots
+  std::uint32_t m_connections = 0;  // open connections
+
+  friend auto operator<=>(const UpstreamStats&, const UpstreamStats&) = default;
+};
+
 // What the stand-in caller saw.
 struct LoadReport {
   std::uint64_t m_sent = 0;  // requests
--- a/src/gen/load_json.cc
+++ b/src/gen/load_json.cc
@@ -54,6 +54,8 @@
               value.m_direct);
   reader.Read("service", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_service);
+  reader.Read("caller", Presence::kOptional, {std::nullopt, 45},
+              value.m_caller);
   reader.Read("method", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_method);
   reader.Read("path", Presence::kOptional, {std::nullopt, std::nullopt},
@@ -79,6 +81,7 @@
   PutJson(object, "entries", value.m_entries);
   PutJson(object, "direct", value.m_direct);
   PutJson(object, "service", value.m_service);
+  PutJson(object, "caller", value.m_caller);
   PutJson(object, "method", value.m_method);
   PutJson(object, "path", value.m_path);
   PutJson(object, "body_bytes", value.m_body_bytes);
@@ -91,6 +94,37 @@
   return object;
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               UpstreamStats& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("ran", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_ran);
+  reader.Read("shed", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_shed);
+  reader.Read("in_progress", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_in_progress);
+  reader.Read("peak_in_progress", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_peak_in_progress);
+  reader.Read("slots", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_slots);
+  reader.Read("connections", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_connections);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const UpstreamStats& value) {
+  boost::json::object object;
+  PutJson(object, "ran", value.m_ran);
+  PutJson(object, "shed", value.m_shed);
+  PutJson(object, "in_progress", value.m_in_progress);
+  PutJson(object, "peak_in_progress", value.m_peak_in_progress);
+  PutJson(object, "slots", value.m_slots);
+  PutJson(object, "connections", value.m_connections);
+  return object;
+}
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/load_json.h
+++ b/src/gen/load_json.h
@@ -24,6 +24,12 @@
                LoadOptions& value);
 boost::json::value ToJson(const LoadOptions& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               UpstreamStats& value);
+boost::json::value ToJson(const UpstreamStats& value);
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -136,6 +136,12 @@
       360;  // connections that it takes (from 1, at most 10000)
   std::chrono::milliseconds m_service_time{
       5};  // time that a request takes (from 0, at most 600000)
+  std::chrono::milliseconds m_cold_time{
+      0};  // time after the start during which a request takes four times as
+           // long (from 0, at most 600000)
+  std::optional<std::uint16_t>
+      m_reported_load;  // load that is announced whatever the real one is, as a
+                        // stuck report
   std::chrono::milliseconds m_announce_interval{
       500};  // interval of announcements (from 20, at most 60000)
   std::string
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -225,6 +225,10 @@
               value.m_connections);
   reader.Read("service_time_ms", Presence::kOptional, {0, 600000},
               value.m_service_time);
+  reader.Read("cold_time_ms", Presence::kOptional, {0, 600000},
+              value.m_cold_time);
+  reader.Read("reported_load", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_reported_load);
   reader.Read("announce_interval_ms", Presence::kOptional, {20, 60000},
               value.m_announce_interval);
   reader.Read("run_log", Presence::kOptional, {std::nullopt, std::nullopt},
@@ -243,6 +247,8 @@
   PutJson(object, "slots", value.m_slots);
   PutJson(object, "connections", value.m_connections);
   PutJson(object, "service_time_ms", value.m_service_time);
+  PutJson(object, "cold_time_ms", value.m_cold_time);
+  PutJson(object, "reported_load", value.m_reported_load);
   PutJson(object, "announce_interval_ms", value.m_announce_interval);
   PutJson(object, "run_log", value.m_run_log);
   return object;
--- a/src/standin/load.cc
+++ b/src/standin/load.cc
@@ -229,6 +229,8 @@
     co_return m_targets;
   net::HttpRequest request;
   request.m_target = "/lookup?service=" + m_options.m_service.m_value;
+  if (!m_options.m_caller.empty())
+    request.m_target += "&caller=" + m_options.m_caller;
   for (std::size_t i = 0; i < m_options.m_entries.size(); ++i) {
     const Endpoint entry =
         m_options.m_entries[m_next_entry % m_options.m_entries.size()];
--- a/src/standin/upstream.cc
+++ b/src/standin/upstream.cc
@@ -1,5 +1,6 @@
 #include "standin/upstream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <string>
@@ -36,6 +37,7 @@
 // lease has ended.
 constexpr milliseconds kLeaseOfAnnouncement{2000};
 constexpr milliseconds kPoll{10};
+constexpr std::uint64_t kColdFactor = 4;
 
 std::uint64_t NumberParameter(std::string_view target,
                               std::string_view name,
@@ -80,6 +82,7 @@
   asio::awaitable<void> RespondInParts(net::HttpExchange& exchange,
                                        ResponseHead head,
                                        std::string body);
+  asio::awaitable<void> RespondStats(net::HttpExchange& exchange);
   asio::awaitable<void> AnnounceLoop();
   asio::awaitable<void> AnnounceTo(Endpoint entry, Announcement announcement);
   asio::awaitable<void> WaitForStop();
@@ -98,17 +101,26 @@
   MonoTime m_started = MonoClock::now();
   std::uint64_t m_sequence = 0;
   std::uint16_t m_in_progress = 0;
+  UpstreamStats m_stats;
 };
 
 asio::awaitable<void> Upstream::State::Handle(net::HttpExchange& exchange) {
+  if (exchange.Head().m_target == "/standin/stats") {
+    co_await RespondStats(exchange);
+    co_return;
+  }
   const Result<std::string> body = co_await exchange.ReadAll(kMaxBodyBytes);
   if (!body)
     co_return;
+  m_stats.m_peak_in_progress =
+      std::max<std::uint32_t>(m_stats.m_peak_in_progress, m_in_progress + 1U);
   if (m_in_progress >= m_settings.m_slots) {
+    ++m_stats.m_shed;
     co_await exchange.Respond(ShedHead(), "all slots are in use\n");
     co_return;
   }
   ++m_in_progress;
+  ++m_stats.m_ran;
   co_await RunRequest(exchange, body.value());
   --m_in_progress;
 }
@@ -121,8 +133,10 @@
       std::string(
           net::FindHeader(head.m_headers, "Idempotency-Key").value_or("-")) +
       " " + m_settings.m_instance.m_value);
+  const bool is_cold = MonoClock::now() - m_started < m_settings.m_cold_time;
   const auto default_delay =
-      static_cast<std::uint64_t>(m_settings.m_service_time.count());
+      static_cast<std::uint64_t>(m_settings.m_service_time.count()) *
+      (is_cold ? kColdFactor : 1);
   asio::steady_timer timer(
       m_io,
       milliseconds(NumberParameter(head.m_target, "delay_ms", default_delay)));
@@ -154,6 +168,19 @@
     co_await exchange.End();
 }
 
+asio::awaitable<void> Upstream::State::RespondStats(
+    net::HttpExchange& exchange) {
+  UpstreamStats stats = m_stats;
+  stats.m_in_progress = m_in_progress;
+  stats.m_slots = m_settings.m_slots;
+  stats.m_connections =
+      static_cast<std::uint32_t>(m_listener.OpenConnections());
+  ResponseHead head;
+  head.m_headers.push_back({"Content-Type", "application/json"});
+  const std::string body = boost::json::serialize(ToJson(stats));
+  co_await exchange.Respond(std::move(head), body);
+}
+
 std::string Upstream::State::ResponseBody(const RequestHead& head,
                                           const std::string& body) {
   const auto key = net::FindHeader(head.m_headers, "Idempotency-Key");
@@ -181,7 +208,7 @@
           .m_availability_zone = m_settings.m_availability_zone,
           .m_slots = m_settings.m_slots,
           .m_connections = m_settings.m_connections,
-          .m_in_progress = m_in_progress,
+          .m_in_progress = m_settings.m_reported_load.value_or(m_in_progress),
           .m_uptime = std::chrono::duration_cast<milliseconds>(
               MonoClock::now() - m_started)};
 }
