Test that replicated time does not go back

Cause: a scratch copy whose time follows the last command passed all tests, since the horizon of claims hides it. Change: one more expectation in the test of forgotten keys.

--- a/tests/unit/control_state_machine_test.cc
+++ b/tests/unit/control_state_machine_test.cc
@@ -294,6 +294,7 @@
   EXPECT_EQ(driver.Claim(key), ClaimOutcome::kMayHaveRun);
   driver.m_now -= 10001;
   EXPECT_EQ(driver.Claim(key), ClaimOutcome::kMayHaveRun);
+  EXPECT_EQ(driver.m_state.Time(), driver.m_now + 10001);
 }
 
 TEST(ControlClaim, LargeAnswersAreNotStored) {
