--- a/src/daemons/controld.cc
+++ b/src/daemons/controld.cc
@@ -1,28 +1,20 @@
 // jujube-controld: the control daemon.
 
-#include <iostream>
-
 #include <gflags/gflags.h>
 
 #include "controld/daemon.h"
-#include "core/json_document.h"
+#include "daemons/program.h"
 #include "gen/settings_json.h"
-#include "observe/log.h"
 
 DEFINE_string(settings, "", "settings file (JSON)");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
 
-constexpr std::size_t kMaxSettingsBytes = 1U << 20U;
-constexpr int kExitBadSettings = 2;
-
 jujube::Status RunDaemon() {
-  JUJUBE_TRY(const std::string text,
-             jujube::ReadFile(FLAGS_settings, kMaxSettingsBytes));
   JUJUBE_TRY(
       const jujube::ControlSettings settings,
-      jujube::ParseDocument<jujube::ControlSettings>(text, FLAGS_settings));
+      jujube::daemons::ReadSettings<jujube::ControlSettings>(FLAGS_settings));
   jujube::controld::ControlKeys keys;
   JUJUBE_TRY(keys.m_peer, jujube::ReadKeyFile(settings.m_peer_key_file));
   JUJUBE_TRY(keys.m_operator,
@@ -42,11 +34,5 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("--settings FILE [--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const jujube::Status status = RunDaemon();
-  if (!status) {
-    jujube::observe::Log(jujube::LogEvent::kSettingsRefused,
-                         {{"error", status.error().m_message}});
-    return kExitBadSettings;
-  }
-  return 0;
+  return jujube::daemons::ExitCodeOf(RunDaemon());
 }
--- a/src/daemons/entryd.cc
+++ b/src/daemons/entryd.cc
@@ -1,28 +1,20 @@
 // jujube-entryd: the entry daemon.
 
-#include <iostream>
-
 #include <gflags/gflags.h>
 
-#include "core/json_document.h"
+#include "daemons/program.h"
 #include "entry/daemon.h"
 #include "gen/settings_json.h"
-#include "observe/log.h"
 
 DEFINE_string(settings, "", "settings file (JSON)");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
 
-constexpr std::size_t kMaxSettingsBytes = 1U << 20U;
-constexpr int kExitBadSettings = 2;
-
 jujube::Status RunDaemon() {
-  JUJUBE_TRY(const std::string text,
-             jujube::ReadFile(FLAGS_settings, kMaxSettingsBytes));
   JUJUBE_TRY(
       const jujube::EntrySettings settings,
-      jujube::ParseDocument<jujube::EntrySettings>(text, FLAGS_settings));
+      jujube::daemons::ReadSettings<jujube::EntrySettings>(FLAGS_settings));
   jujube::entry::EntryKeys keys;
   JUJUBE_TRY(keys.m_peer, jujube::ReadKeyFile(settings.m_peer_key_file));
   JUJUBE_TRY(keys.m_platform,
@@ -44,11 +36,5 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("--settings FILE [--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const jujube::Status status = RunDaemon();
-  if (!status) {
-    jujube::observe::Log(jujube::LogEvent::kSettingsRefused,
-                         {{"error", status.error().m_message}});
-    return kExitBadSettings;
-  }
-  return 0;
+  return jujube::daemons::ExitCodeOf(RunDaemon());
 }
