Move callers between regions in steps under the cap

Cause: the drain of a region left its hosts out of look-ups and its instances out of selections at once, so all of its callers moved within one look-up lifetime, whatever the cap of a shift said.

Ruled out: a plan computed by each entry host from its own measurements, since hosts with different inputs would give different look-up answers; a rate that follows from the start of a drain alone, since it knows no room at the survivors and no way back.

Change: the leader plans each second (control::ShiftDriver over PlanShift) from the load that entry hosts report with their renewals, and proposes a step; the plan is replicated, travels in the feed and decides on the site of a block. The drain of a region takes effect once nobody is steered there. Missing reports stop a shift, a full survivor receives nobody, a new leader counts the moves of the earlier one.

--- a/src/control/command.cc
+++ b/src/control/command.cc
@@ -43,4 +43,8 @@
   return Wrap(CommandKind::kRemoveHost, message, now);
 }
 
+std::string MakeCommand(const ShiftCommand& message, UnixMillis now) {
+  return Wrap(CommandKind::kShift, message, now);
+}
+
 }  // namespace jujube::control
--- a/src/control/command.h
+++ b/src/control/command.h
@@ -21,5 +21,6 @@
 std::string MakeCommand(const ClaimFinish& message, UnixMillis now);
 std::string MakeCommand(const RenewCommand& message, UnixMillis now);
 std::string MakeCommand(const RemoveHostCommand& message, UnixMillis now);
+std::string MakeCommand(const ShiftCommand& message, UnixMillis now);
 
 }  // namespace jujube::control
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -46,6 +46,7 @@
 Configuration::Configuration(const ControlSnapshotHead& head,
                              std::vector<CallerBlock> blocks)
     : m_drains(head.m_drains),
+      m_shift(head.m_shift),
       m_history(head.m_history),
       m_document_index(head.m_document_index),
       m_feed_index(head.m_feed_index) {
@@ -129,6 +130,15 @@
   return {.m_outcome = DrainOutcome::kChanged, .m_index = index};
 }
 
+ShiftAnswer Configuration::Shift(const ShiftCommand& command,
+                                 std::uint64_t index) {
+  if (command.m_feed_index != m_feed_index || command.m_state == m_shift)
+    return {};
+  m_shift = command.m_state;
+  m_feed_index = index;
+  return {.m_changed = true};
+}
+
 bool Configuration::HasEntryHost(const HostId& host) const {
   return HasName(m_document->m_entry_hosts, host.m_value);
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -34,18 +34,20 @@
                     std::uint64_t index,
                     std::uint64_t time);
   DrainAnswer Drain(const DrainCommand& command, std::uint64_t index);
+  ShiftAnswer Shift(const ShiftCommand& command, std::uint64_t index);
 
   // Whole document, canonical (config/digest.h). Number 0 before the first one.
   const Deployment& Document() const { return *m_document; }
   std::uint64_t DocumentIndex() const { return m_document_index; }
   std::uint64_t FeedIndex() const { return m_feed_index; }
   const std::vector<jujube::Drain>& Drains() const { return m_drains; }
+  const ShiftState& ShiftInForce() const { return m_shift; }
   const std::vector<HistoryEntry>& History() const { return m_history; }
   bool HasEntryHost(const HostId& host) const;
 
   friend bool operator==(const Configuration& a, const Configuration& b) {
     return *a.m_document == *b.m_document && a.m_drains == b.m_drains &&
-           a.m_history == b.m_history &&
+           a.m_shift == b.m_shift && a.m_history == b.m_history &&
            a.m_document_index == b.m_document_index &&
            a.m_feed_index == b.m_feed_index;
   }
@@ -54,6 +56,7 @@
   // Shared, so that a copy of the state for a snapshot is cheap.
   std::shared_ptr<const Deployment> m_document;
   std::vector<jujube::Drain> m_drains;  // sorted
+  ShiftState m_shift;
   std::vector<HistoryEntry> m_history;  // oldest first
   std::uint64_t m_document_index = 0;
   std::uint64_t m_feed_index = 0;
--- a/src/control/snapshot.cc
+++ b/src/control/snapshot.cc
@@ -35,6 +35,7 @@
           .m_claim_horizon = m_state.Claims().Horizon(),
           .m_deployment = config::WithoutBlocks(config.Document()),
           .m_drains = config.Drains(),
+          .m_shift = config.ShiftInForce(),
           .m_history = config.History(),
           .m_hosts = m_state.Hosts().All()};
 }
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -89,6 +89,8 @@
       return run(DecodeRenewCommand(command.m_data));
     case CommandKind::kRemoveHost:
       return run(DecodeRemoveHostCommand(command.m_data));
+    case CommandKind::kShift:
+      return run(DecodeShiftCommand(command.m_data));
   }
   return MakeError(ErrorCode::kInvalidInput, "unknown kind of command");
 }
@@ -154,13 +156,19 @@
   return {.m_known = m_hosts.Remove(command.m_host)};
 }
 
+ShiftAnswer StateMachine::Run(const ShiftCommand& command,
+                              std::uint64_t index) {
+  return m_config.Shift(command, index);
+}
+
 std::optional<FeedChange> StateMachine::MakeChange(
     std::uint64_t previous_index,
     const Command& command) const {
   FeedChange change{.m_previous_index = previous_index,
                     .m_index = m_config.FeedIndex(),
                     .m_deployment = config::WithoutBlocks(m_config.Document()),
-                    .m_drains = m_config.Drains()};
+                    .m_drains = m_config.Drains(),
+                    .m_shift = m_config.ShiftInForce()};
   if (command.m_kind != CommandKind::kApply)
     return change;
   const auto applied = DecodeApplyCommand(command.m_data);
@@ -174,7 +182,8 @@
 FeedState StateMachine::Feed() const {
   return {.m_index = m_config.FeedIndex(),
           .m_deployment = m_config.Document(),
-          .m_drains = m_config.Drains()};
+          .m_drains = m_config.Drains(),
+          .m_shift = m_config.ShiftInForce()};
 }
 
 ControlStatus StateMachine::Status() const {
@@ -185,6 +194,7 @@
           .m_claims = m_claims.All().size(),
           .m_answer_bytes = m_claims.AnswerBytes(),
           .m_drains = m_config.Drains(),
+          .m_shift = m_config.ShiftInForce(),
           .m_hosts = m_hosts.All()};
 }
 
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -41,6 +41,8 @@
 //   Renew       RenewAnswers: an AllotmentReply for each renewal that counts.
 //               Late, repeated and stale ones get none. See limits/ledger.h.
 //   RemoveHost  RemoveAnswer.
+//   Shift       ShiftAnswer. A step that was planned for another feed index
+//               changes nothing; the leader plans again.
 //
 // An entry that cannot be decoded changes nothing but AppliedIndex().
 //
@@ -105,7 +107,8 @@
                                    ClaimReply,
                                    ClaimFinishReply,
                                    RenewAnswers,
-                                   RemoveAnswer>;
+                                   RemoveAnswer,
+                                   ShiftAnswer>;
 
 struct CommandResult {
   CommandAnswer m_answer;
@@ -155,6 +158,7 @@
   ClaimFinishReply Run(const ClaimFinish& finish, std::uint64_t index);
   RenewAnswers Run(const RenewCommand& command, std::uint64_t index);
   RemoveAnswer Run(const RemoveHostCommand& command, std::uint64_t index);
+  ShiftAnswer Run(const ShiftCommand& command, std::uint64_t index);
   std::optional<FeedChange> MakeChange(std::uint64_t previous_index,
                                        const Command& command) const;
 
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kRenewalBatch{20};
 // Without renewals, expired leases and lost hosts are recorded this often.
 constexpr milliseconds kIdleRenewal{1000};
+constexpr milliseconds kShiftInterval{1000};
 
 UnixMillis WallNow() {
   return SystemClock().WallNow();
@@ -120,6 +121,7 @@
 void ControlService::OnRole(const consensus::RoleChange& change) {
   m_waiting.clear();
   m_planner.Clear();
+  m_shifts.Clear();
   if (change.m_role != consensus::Role::kLeader)
     return;
   const MonoTime now = MonoClock::now();
@@ -176,6 +178,7 @@
   m_watch.OnRenewal(request.m_host, request.m_incarnation, now);
   if (!m_planner.OnRequest(request, now))
     return;
+  m_shifts.OnRequest(request, now);
   m_waiting[request.m_host] = {.m_source = source,
                                .m_incarnation = request.m_incarnation};
   if (!m_is_renewal_due) {
@@ -198,6 +201,7 @@
   if (!m_runner.IsLeader())
     return;
   const MonoTime now = MonoClock::now();
+  ProposeShift(now);
   const control::StateMachine& state = m_runner.State();
   std::vector<HostId> hosts;
   for (const auto& [host, waiting] : m_waiting)
@@ -222,6 +226,21 @@
                    });
 }
 
+void ControlService::ProposeShift(MonoTime now) {
+  if (now < m_next_shift)
+    return;
+  m_next_shift = now + kShiftInterval;
+  const std::optional<ShiftCommand> step =
+      m_shifts.NextStep(m_runner.State(), now, WallNow());
+  if (!step)
+    return;
+  observe::Log(LogEvent::kShiftStep, {{"feed_index", step->m_feed_index}});
+  m_runner.Propose(control::MakeCommand(*step, WallNow()),
+                   [](const ProposalOutcome&) {
+                     // A lost step is planned again from the state in force.
+                   });
+}
+
 void ControlService::AnswerRenewals(const control::RenewAnswers& answers) {
   for (const control::RenewAnswer& answer : answers) {
     const auto waiting = m_waiting.find(answer.m_host);
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "control/host_watch.h"
+#include "control/shift_driver.h"
 #include "controld/replica_runner.h"
 #include "feed/status_table.h"
 #include "gen/settings.h"
@@ -58,6 +59,7 @@
   std::optional<Endpoint> LeaderHint() const;
   void ScheduleRenewal(std::chrono::milliseconds delay);
   void ProposeRenewal();
+  void ProposeShift(MonoTime now);
   void AnswerRenewals(const control::RenewAnswers& answers);
 
   boost::asio::io_context& m_io;
@@ -70,6 +72,8 @@
   control::HostWatch m_watch;
   limits::LeaseClock m_lease_clock;
   limits::Planner m_planner;
+  control::ShiftDriver m_shifts;
+  MonoTime m_next_shift;
   std::map<HostId, WaitingRenewal> m_waiting;
   boost::asio::steady_timer m_renewal_timer;
   bool m_is_renewal_due = false;
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -15,6 +15,7 @@
 #include "observe/metrics.h"
 #include "steering/candidate_collector.h"
 #include "steering/outlier_ejector.h"
+#include "steering/shift_state.h"
 
 // Sections: construction, configuration, views, ticks, allotments, planned
 // stop, status.
@@ -159,15 +160,16 @@
 }
 
 std::vector<Drain> EntryControl::DrainsInForce() const {
-  std::vector<Drain> drains = m_state->m_drains;
+  std::vector<Drain> drains =
+      steering::DrainsInForce(m_state->m_drains, m_state->m_shift);
   for (const HostId& host : m_peers.LeavingHosts())
     drains.push_back({.m_kind = DrainKind::kEntryHost, .m_name = host.m_value});
   return drains;
 }
 
 void EntryControl::RebuildLookup() {
-  Result<lookup::Table> table =
-      lookup::Table::Build(m_state->m_deployment, DrainsInForce());
+  Result<lookup::Table> table = lookup::Table::Build(
+      m_state->m_deployment, DrainsInForce(), m_state->m_shift);
   if (!table) {
     observe::Log(
         LogEvent::kDocumentUnusable,
--- a/src/feed/change.cc
+++ b/src/feed/change.cc
@@ -84,7 +84,8 @@
   FeedChange change{.m_previous_index = before.m_index,
                     .m_index = after.m_index,
                     .m_deployment = WithoutBlocks(after.m_deployment),
-                    .m_drains = after.m_drains};
+                    .m_drains = after.m_drains,
+                    .m_shift = after.m_shift};
   const Blocks& from = before.m_deployment.m_blocks;
   auto old = from.begin();
   for (const CallerBlock& block : after.m_deployment.m_blocks) {
@@ -123,7 +124,8 @@
   std::sort(removed.begin(), removed.end());
   FeedState after{.m_index = change.m_index,
                   .m_deployment = WithoutBlocks(change.m_deployment),
-                  .m_drains = change.m_drains};
+                  .m_drains = change.m_drains,
+                  .m_shift = change.m_shift};
   after.m_deployment.m_blocks = MergeBlocks(
       before.m_deployment.m_blocks, SortedBlocks(change.m_upserted), removed);
   return after;
--- a/src/gen/control.cc
+++ b/src/gen/control.cc
@@ -7,8 +7,8 @@
 namespace jujube {
 
 std::string_view ToString(CommandKind value) {
-  static constexpr std::array<std::string_view, 6> kNames = {
-      "Apply", "Drain", "Claim", "Finish", "Renew", "RemoveHost"};
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "Apply", "Drain", "Claim", "Finish", "Renew", "RemoveHost", "Shift"};
   const auto index = static_cast<std::size_t>(value);
   return index < kNames.size() ? kNames[index] : "invalid";
 }
--- a/src/gen/control.h
+++ b/src/gen/control.h
@@ -17,6 +17,7 @@
 #include "gen/allotments.h"
 #include "gen/claims.h"
 #include "gen/deployment.h"
+#include "gen/shift.h"
 #include "gen/types.h"
 
 namespace jujube {
@@ -29,6 +30,7 @@
   kFinish,      // ClaimFinish
   kRenew,       // RenewCommand
   kRemoveHost,  // RemoveHostCommand
+  kShift,       // ShiftCommand
 };
 
 // Name of a value as it stands in JSON and logs, such as "Apply".
@@ -124,6 +126,22 @@
                           const RemoveHostCommand&) = default;
 };
 
+// The next step of a shift.
+struct ShiftCommand {
+  std::uint64_t m_feed_index = 0;  // feed index for which the step was planned;
+                                   // on another one nothing changes
+  ShiftState m_state;              // the plan after the step
+
+  friend auto operator<=>(const ShiftCommand&, const ShiftCommand&) = default;
+};
+
+// Answer to ShiftCommand.
+struct ShiftAnswer {
+  bool m_changed = false;  // the step is in force
+
+  friend auto operator<=>(const ShiftAnswer&, const ShiftAnswer&) = default;
+};
+
 // Answer to a document.
 enum class ApplyOutcome : std::uint8_t {
   kAccepted,      // in force from the index in the answer; also the answer to a
@@ -208,6 +226,7 @@
   std::uint64_t m_claims = 0;      // claims kept
   std::uint64_t m_answer_bytes = 0;  // size of the stored answers in bytes
   std::vector<Drain> m_drains;       // drains in force (at most 4096 elements)
+  ShiftState m_shift;                // where callers are steered
   std::vector<EntryHostStatus>
       m_hosts;  // registered entry hosts (at most 4096 elements)
 
@@ -273,6 +292,7 @@
       0;                        // keys issued before it may have been forgotten
   Deployment m_deployment;      // document without its blocks
   std::vector<Drain> m_drains;  // drains in force (at most 4096 elements)
+  ShiftState m_shift;           // where callers are steered
   std::vector<HistoryEntry>
       m_history;  // accepted documents, oldest first (at most 1024 elements)
   std::vector<EntryHostStatus>
--- a/src/gen/control_json.cc
+++ b/src/gen/control_json.cc
@@ -8,6 +8,7 @@
 #include "gen/allotments_json.h"
 #include "gen/claims_json.h"
 #include "gen/deployment_json.h"
+#include "gen/shift_json.h"
 #include "gen/types_json.h"
 
 namespace jujube {
@@ -16,7 +17,7 @@
                const JsonPath& path,
                Problems& problems,
                CommandKind& value) {
-  ParseEnum(json, path, problems, 6, value);
+  ParseEnum(json, path, problems, 7, value);
 }
 
 boost::json::value ToJson(const CommandKind& value) {
@@ -170,6 +171,8 @@
               value.m_answer_bytes);
   reader.Read("drains", Presence::kOptional, {std::nullopt, 4096},
               value.m_drains);
+  reader.Read("shift", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_shift);
   reader.Read("hosts", Presence::kOptional, {std::nullopt, 4096},
               value.m_hosts);
   reader.RejectUnknownKeys();
@@ -184,6 +187,7 @@
   PutJson(object, "claims", value.m_claims);
   PutJson(object, "answer_bytes", value.m_answer_bytes);
   PutJson(object, "drains", value.m_drains);
+  PutJson(object, "shift", value.m_shift);
   PutJson(object, "hosts", value.m_hosts);
   return object;
 }
--- a/src/gen/control_serialize.h
+++ b/src/gen/control_serialize.h
@@ -10,6 +10,7 @@
 #include "gen/claims_serialize.h"
 #include "gen/control.h"
 #include "gen/deployment_serialize.h"
+#include "gen/shift_serialize.h"
 #include "gen/types_serialize.h"
 #include "wire/archive.h"
 
@@ -17,7 +18,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, Command& value) {
-  archive(wire::Checked(value.m_kind, 6), value.m_time,
+  archive(wire::Checked(value.m_kind, 7), value.m_time,
           wire::Bounded(value.m_data, 16777000));
 }
 
@@ -63,6 +64,16 @@
   archive(wire::Bounded(value.m_operator_name, 200), value.m_host);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ShiftCommand& value) {
+  archive(value.m_feed_index, value.m_state);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ShiftAnswer& value) {
+  archive(value.m_changed);
+}
+
 template <class Archive>
 void serialize(Archive& archive, ApplyAnswer& value) {
   archive(wire::Checked(value.m_outcome, 5), value.m_accepted,
@@ -91,7 +102,7 @@
 void serialize(Archive& archive, ControlStatus& value) {
   archive(value.m_applied_index, value.m_feed_index, value.m_number,
           value.m_time, value.m_claims, value.m_answer_bytes,
-          wire::Bounded(value.m_drains, 4096),
+          wire::Bounded(value.m_drains, 4096), value.m_shift,
           wire::Bounded(value.m_hosts, 4096));
 }
 
@@ -124,7 +135,7 @@
 void serialize(Archive& archive, ControlSnapshotHead& value) {
   archive(value.m_applied_index, value.m_document_index, value.m_feed_index,
           value.m_time, value.m_claim_horizon, value.m_deployment,
-          wire::Bounded(value.m_drains, 4096),
+          wire::Bounded(value.m_drains, 4096), value.m_shift,
           wire::Bounded(value.m_history, 1024),
           wire::Bounded(value.m_hosts, 4096));
 }
--- a/src/gen/control_wire.cc
+++ b/src/gen/control_wire.cc
@@ -71,6 +71,22 @@
   return wire::DecodeValue<RemoveHostCommand>(bytes, "RemoveHostCommand");
 }
 
+std::string Encode(const ShiftCommand& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<ShiftCommand> DecodeShiftCommand(std::string_view bytes) {
+  return wire::DecodeValue<ShiftCommand>(bytes, "ShiftCommand");
+}
+
+std::string Encode(const ShiftAnswer& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<ShiftAnswer> DecodeShiftAnswer(std::string_view bytes) {
+  return wire::DecodeValue<ShiftAnswer>(bytes, "ShiftAnswer");
+}
+
 std::string Encode(const ApplyAnswer& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/control_wire.h
+++ b/src/gen/control_wire.h
@@ -36,6 +36,12 @@
 std::string Encode(const RemoveHostCommand& value);
 Result<RemoveHostCommand> DecodeRemoveHostCommand(std::string_view bytes);
 
+std::string Encode(const ShiftCommand& value);
+Result<ShiftCommand> DecodeShiftCommand(std::string_view bytes);
+
+std::string Encode(const ShiftAnswer& value);
+Result<ShiftAnswer> DecodeShiftAnswer(std::string_view bytes);
+
 std::string Encode(const ApplyAnswer& value);
 Result<ApplyAnswer> DecodeApplyAnswer(std::string_view bytes);
 
--- a/src/gen/feed.h
+++ b/src/gen/feed.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "gen/deployment.h"
+#include "gen/shift.h"
 #include "gen/types.h"
 
 namespace jujube {
@@ -37,6 +38,7 @@
   std::vector<std::string>
       m_removed;  // prefixes that are gone (at most 100000 elements)
   std::vector<Drain> m_drains;  // all drains in force (at most 4096 elements)
+  ShiftState m_shift;           // where callers are steered
 
   friend auto operator<=>(const FeedChange&, const FeedChange&) = default;
 };
@@ -46,6 +48,7 @@
   std::uint64_t m_index = 0;    // index of the state
   Deployment m_deployment;      // whole document
   std::vector<Drain> m_drains;  // drains in force (at most 4096 elements)
+  ShiftState m_shift;           // where callers are steered
 
   friend auto operator<=>(const FeedState&, const FeedState&) = default;
 };
--- a/src/gen/feed_json.cc
+++ b/src/gen/feed_json.cc
@@ -6,6 +6,7 @@
 
 #include "core/json_reader_impl.h"
 #include "gen/deployment_json.h"
+#include "gen/shift_json.h"
 #include "gen/types_json.h"
 
 namespace jujube {
--- a/src/gen/feed_serialize.h
+++ b/src/gen/feed_serialize.h
@@ -8,6 +8,7 @@
 
 #include "gen/deployment_serialize.h"
 #include "gen/feed.h"
+#include "gen/shift_serialize.h"
 #include "gen/types_serialize.h"
 #include "wire/archive.h"
 
@@ -23,13 +24,13 @@
   archive(value.m_previous_index, value.m_index, value.m_deployment,
           wire::Bounded(value.m_upserted, 100000),
           wire::Bounded(value.m_removed, 100000),
-          wire::Bounded(value.m_drains, 4096));
+          wire::Bounded(value.m_drains, 4096), value.m_shift);
 }
 
 template <class Archive>
 void serialize(Archive& archive, FeedState& value) {
   archive(value.m_index, value.m_deployment,
-          wire::Bounded(value.m_drains, 4096));
+          wire::Bounded(value.m_drains, 4096), value.m_shift);
 }
 
 template <class Archive>
--- a/src/lookup/table.cc
+++ b/src/lookup/table.cc
@@ -1,5 +1,7 @@
 #include "lookup/table.h"
 
+#include "lookup/site_shift.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -25,7 +27,8 @@
 }
 
 Result<BlockTable> BuildBlocks(const Deployment& deployment,
-                               const SiteTable& site_table) {
+                               const SiteTable& site_table,
+                               const SiteShift& shift) {
   std::map<std::string_view, std::size_t> sites;
   for (const Site& site : deployment.m_sites)
     sites.emplace(site.m_name.m_value, sites.size());
@@ -40,9 +43,10 @@
     const auto site = sites.find(block.m_site.m_value);
     if (site == sites.end())
       return BlockError(block, "unknown site \"" + block.m_site.m_value + "\"");
-    entries.push_back(
-        {.m_prefix = prefix.value(),
-         .m_value = site_table.ListOf(site->second, HashOf(prefix.value()))});
+    entries.push_back({.m_prefix = prefix.value(),
+                       .m_value = site_table.ListOf(
+                           shift.SiteFor(site->second, block.m_prefix),
+                           HashOf(prefix.value()))});
     prefixes.push_back(prefix.value());
   }
   JUJUBE_TRY(CheckUnique(std::move(prefixes)));
@@ -58,11 +62,13 @@
 }  // namespace
 
 Result<Table> Table::Build(const Deployment& deployment,
-                           const std::vector<Drain>& drains) {
+                           const std::vector<Drain>& drains,
+                           const ShiftState& shift) {
   Table table;
   table.m_version = deployment.m_number;
   JUJUBE_TRY(table.m_sites, SiteTable::Build(deployment, drains));
-  JUJUBE_TRY(table.m_blocks, BuildBlocks(deployment, table.m_sites));
+  JUJUBE_TRY(table.m_blocks, BuildBlocks(deployment, table.m_sites,
+                                         SiteShift(deployment, shift)));
   for (const EntryHost& host : deployment.m_entry_hosts)
     table.m_hosts.push_back({.m_host = host.m_name,
                              .m_address = host.m_caller.m_address,
--- a/src/lookup/table.h
+++ b/src/lookup/table.h
@@ -23,6 +23,7 @@
 #include "core/result.h"
 #include "gen/deployment.h"
 #include "gen/lookup.h"
+#include "gen/shift.h"
 #include "lookup/address.h"
 #include "lookup/block_table.h"
 #include "lookup/site_table.h"
@@ -42,8 +43,11 @@
 
   // Fails with kInvalidInput on a malformed or repeated prefix, or a reference
   // to an unknown site or availability zone; the message names it.
+  // Blocks that the shift steers to another region get the lists of a site
+  // there.
   static Result<Table> Build(const Deployment& deployment,
-                             const std::vector<Drain>& drains);
+                             const std::vector<Drain>& drains,
+                             const ShiftState& shift = {});
 
   // An unknown service gets an answer without hosts and with lifetime 0.
   LookupAnswer Find(const ServiceId& service, const Address& caller) const;
--- /dev/null
+++ b/tests/unit/control_shift_test.cc
@@ -0,0 +1,228 @@
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "config/digest.h"
+#include "control/command.h"
+#include "control/proposal.h"
+#include "control/shift_driver.h"
+#include "control/state_machine.h"
+#include "lookup/address.h"
+#include "lookup/table.h"
+#include "steering/shift_state.h"
+
+namespace jujube::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kCapPermille = 100;
+constexpr int kBlocks = 400;
+
+// Two regions with one entry host each; all callers are at home in the first.
+Deployment TwoRegions() {
+  Deployment deployment{.m_number = 1, .m_name = "test"};
+  deployment.m_shift.m_max_permille_per_minute = kCapPermille;
+  std::uint16_t port = 8000;
+  for (const std::string name : {"a", "b"}) {
+    deployment.m_regions.push_back(
+        {.m_name = {name}, .m_max_in_progress = 100});
+    deployment.m_availability_zones.push_back(
+        {.m_name = {name + "-1"}, .m_region = {name}});
+    deployment.m_sites.push_back(
+        {.m_name = {"site-" + name}, .m_availability_zone = {name + "-1"}});
+    deployment.m_entry_hosts.push_back(
+        {.m_name = {"entry-" + name},
+         .m_availability_zone = {name + "-1"},
+         .m_caller = {.m_address = "127.0.0.1", .m_port = port++},
+         .m_peer = {.m_address = "127.0.0.1", .m_port = port++}});
+  }
+  deployment.m_links.push_back({.m_a = {"a"},
+                                .m_b = {"b"},
+                                .m_capacity_kbit_s = 1000,
+                                .m_delay = milliseconds(10)});
+  deployment.m_services.push_back({.m_name = {"s"}});
+  for (int i = 0; i < kBlocks; ++i) {
+    deployment.m_blocks.push_back({.m_prefix = "10." + std::to_string(i / 256) +
+                                               "." + std::to_string(i % 256) +
+                                               ".0/24",
+                                   .m_site = {"site-a"}});
+  }
+  return deployment;
+}
+
+// A control state with both entry hosts, and the driver of its leader.
+class ShiftTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    const Deployment deployment = config::Canonical(TwoRegions());
+    const ApplyProposal proposal = PrepareApply(m_state, deployment, "test");
+    ASSERT_FALSE(proposal.m_answer) << proposal.m_answer->m_problems.front();
+    Apply(MakeCommand(proposal.m_command, m_wall));
+    RenewAll();
+  }
+
+  void Apply(const std::string& command) {
+    ASSERT_TRUE(m_state.Apply(m_state.AppliedIndex() + 1, command));
+  }
+
+  void RenewAll() {
+    ++m_sequence;
+    RenewCommand command;
+    for (const std::string host : {"entry-a", "entry-b"}) {
+      command.m_renewals.push_back(
+          {.m_host = {host}, .m_incarnation = 1, .m_sequence = m_sequence});
+    }
+    Apply(MakeCommand(command, m_wall));
+  }
+
+  void Report(const std::string& host, std::uint64_t in_use) {
+    AllotmentRequest request{.m_host = {host}, .m_incarnation = 1};
+    request.m_demands.push_back(
+        {.m_limit = {.m_kind = LimitKind::kRegion, .m_name = host.substr(6)},
+         .m_in_use = in_use});
+    m_driver.OnRequest(request, m_now);
+  }
+
+  // Lets a second pass; returns the permille of callers that moved.
+  int Second(std::uint64_t use_a, std::uint64_t use_b) {
+    m_now += seconds(1);
+    m_wall += seconds(1);
+    Report("entry-a", use_a);
+    Report("entry-b", use_b);
+    const int before = ShareOfB();
+    const auto step = m_driver.NextStep(m_state, m_now, m_wall);
+    if (step)
+      Apply(MakeCommand(*step, m_wall));
+    return std::abs(ShareOfB() - before);
+  }
+
+  int ShareOfB() const {
+    for (const auto& source :
+         steering::ToShiftPlan(m_state.Config().ShiftInForce()).m_sources) {
+      if (source.m_source == RegionId{"a"})
+        return static_cast<int>(steering::ShareOf(source, {"b"}));
+    }
+    return 0;
+  }
+
+  void DrainRegionA(bool is_active) {
+    const DrainCommand command{
+        .m_drain = {.m_kind = DrainKind::kRegion, .m_name = "a"},
+        .m_active = is_active};
+    Apply(MakeCommand(command, m_wall));
+  }
+
+  int BlocksLedBy(const std::string& host) const {
+    const FeedState feed = m_state.Feed();
+    const auto table = lookup::Table::Build(
+        feed.m_deployment, steering::DrainsInForce(feed.m_drains, feed.m_shift),
+        feed.m_shift);
+    int count = 0;
+    for (int i = 0; i < kBlocks; ++i) {
+      const auto caller =
+          lookup::ParseAddress("10." + std::to_string(i / 256) + "." +
+                               std::to_string(i % 256) + ".7");
+      const LookupAnswer answer = table.value().Find({"s"}, caller.value());
+      count += answer.m_hosts.front().m_host.m_value == host;
+    }
+    return count;
+  }
+
+  StateMachine m_state;
+  ShiftDriver m_driver;
+  MonoTime m_now{std::chrono::hours(1)};
+  UnixMillis m_wall{1'000'000'000};
+  std::uint64_t m_sequence = 0;
+};
+
+// Guards against the drain of a region moving all of its callers at once.
+TEST_F(ShiftTest, DrainOfARegionMovesCallersUnderTheCapAndThenTakesEffect) {
+  DrainRegionA(true);
+  EXPECT_EQ(BlocksLedBy("entry-a"), kBlocks);
+  std::vector<int> moved;
+  for (int i = 0; i < 1200 && ShareOfB() < 1000; ++i) {
+    moved.push_back(Second(10, 10));
+    int in_window = 0;
+    for (std::size_t j = moved.size() > 60 ? moved.size() - 60 : 0;
+         j < moved.size(); ++j)
+      in_window += moved[j];
+    ASSERT_LE(in_window, kCapPermille) << "second " << i;
+  }
+  EXPECT_EQ(ShareOfB(), 1000);
+  EXPECT_EQ(BlocksLedBy("entry-b"), kBlocks);
+  const FeedState feed = m_state.Feed();
+  EXPECT_EQ(steering::DrainsInForce(feed.m_drains, feed.m_shift).size(), 1U);
+}
+
+// Guards against callers that return all at once when the drain ends.
+TEST_F(ShiftTest, EndOfADrainMovesCallersBackUnderTheCap) {
+  DrainRegionA(true);
+  for (int i = 0; i < 1200 && ShareOfB() < 1000; ++i)
+    Second(10, 10);
+  DrainRegionA(false);
+  std::vector<int> moved;
+  for (int i = 0; i < 1200 && ShareOfB() > 0; ++i) {
+    moved.push_back(Second(10, 10));
+    int in_window = 0;
+    for (std::size_t j = moved.size() > 60 ? moved.size() - 60 : 0;
+         j < moved.size(); ++j)
+      in_window += moved[j];
+    ASSERT_LE(in_window, kCapPermille) << "second " << i;
+  }
+  EXPECT_EQ(ShareOfB(), 0);
+  EXPECT_EQ(BlocksLedBy("entry-a"), kBlocks);
+}
+
+// Guards against filling a survivor that has no room.
+TEST_F(ShiftTest, FullSurvivorReceivesNobody) {
+  DrainRegionA(true);
+  for (int i = 0; i < 120; ++i)
+    Second(50, 90);
+  EXPECT_EQ(ShareOfB(), 0);
+}
+
+// Guards against a sum without one host's load being taken for room.
+TEST_F(ShiftTest, MissingReportOfALiveHostStopsTheShift) {
+  DrainRegionA(true);
+  for (int i = 0; i < 60; ++i) {
+    m_now += seconds(1);
+    m_wall += seconds(1);
+    Report("entry-a", 10);
+    EXPECT_FALSE(m_driver.NextStep(m_state, m_now, m_wall));
+  }
+}
+
+// Guards against a step that was planned for an earlier state, for example by
+// a deposed leader, being added to a later one.
+TEST_F(ShiftTest, StepForAnotherFeedIndexChangesNothing) {
+  DrainRegionA(true);
+  for (int i = 0; i < 30 && ShareOfB() == 0; ++i)
+    Second(10, 10);
+  ASSERT_GT(ShareOfB(), 0);
+  const ShiftState before = m_state.Config().ShiftInForce();
+  const ShiftCommand late{.m_feed_index = m_state.Config().FeedIndex() - 1};
+  Apply(MakeCommand(late, m_wall));
+  EXPECT_EQ(m_state.Config().ShiftInForce(), before);
+}
+
+// Guards against a new leader that forgets how much moved in the last minute.
+TEST_F(ShiftTest, NewLeaderCountsTheMovesOfTheEarlierOne) {
+  DrainRegionA(true);
+  int moved = 0;
+  for (int i = 0; i < 55; ++i) {
+    moved += Second(10, 10);
+    if (i % 7 == 0)
+      m_driver.Clear();
+  }
+  EXPECT_GT(moved, 0);
+  EXPECT_LE(moved, kCapPermille);
+}
+
+}  // namespace
+}  // namespace jujube::control
