--- a/tests/unit/feed_state_test.cc
+++ b/tests/unit/feed_state_test.cc
@@ -109,6 +109,18 @@
   EXPECT_EQ(*follower.Current(), *StateAt(600));
 }
 
+// Guards against a first change, from index 0, that a subscriber without a
+// state cannot apply: it would never get the configuration.
+TEST(FeedPublisher, FirstStateIsServedAsASnapshot) {
+  Publisher publisher;
+  const auto first = MakeChange(FeedState{}, *StateAt(7));
+  ASSERT_TRUE(publisher.Publish(StateAt(7), first.value()));
+  Follower follower;
+  const Served served = CatchUp(&publisher, &follower);
+  EXPECT_EQ(served.m_changes, 0U);
+  EXPECT_EQ(*follower.Current(), *StateAt(7));
+}
+
 // Guards against a parent that serves an older state than it did before.
 TEST(FeedPublisher, OlderStateIsRefused) {
   Publisher publisher;
--- a/tests/unit/net_feed_test.cc
+++ b/tests/unit/net_feed_test.cc
@@ -34,7 +34,9 @@
  public:
   Node(std::string name,
        std::vector<Endpoint> parents,
-       FeedServerOptions server_options = {.m_heartbeat = milliseconds(20)}) {
+       FeedServerOptions server_options = {.m_heartbeat = milliseconds(20)},
+       milliseconds max_origin_age = milliseconds(800))
+      : m_max_origin_age(max_origin_age) {
     m_loop.Run([&] {
       if (!parents.empty())
         StartClient(std::move(name), std::move(parents));
@@ -69,7 +71,7 @@
     options.m_parents = std::move(parents);
     options.m_heartbeat = milliseconds(20);
     options.m_silence = milliseconds(400);
-    options.m_max_origin_age = milliseconds(800);
+    options.m_max_origin_age = m_max_origin_age;
     m_client = std::make_unique<FeedClient>(m_loop.Context(), options, m_table);
     m_client->OnState(
         [this](const feed::Follower::State& state, const FeedChange* change) {
@@ -95,6 +97,7 @@
     });
   }
 
+  const milliseconds m_max_origin_age;
   Loop m_loop;
   feed::StatusTable m_table;
   std::vector<LogEvent> m_events;
@@ -127,7 +130,9 @@
   Node voter("", {});
   voter.Publish(5);
   Node silent("", {}, {.m_heartbeat = std::chrono::hours(1)});
-  Node leaf("leaf", {silent.m_endpoint, voter.m_endpoint});
+  // The age of the state alone must not be what makes the client leave.
+  Node leaf("leaf", {silent.m_endpoint, voter.m_endpoint},
+            {.m_heartbeat = milliseconds(20)}, std::chrono::hours(1));
   leaf.UntilAt(5);
   leaf.m_loop.Run(
       [&] { EXPECT_EQ(leaf.m_events.front(), LogEvent::kFeedParentChanged); });
