Hold documents that move callers to the cap of a shift

Cause: a document that gives blocks a site in another region moved all of their callers at once, whatever the cap of a shift said.

Change: with the documents of the minute before, a document may move at most max_permille_per_minute of the callers of a region to other regions; the answer states what was found and the ways to move more. The history records the part.

--- a/src/config/difference.cc
+++ b/src/config/difference.cc
@@ -97,6 +97,21 @@
   std::vector<std::string> m_lines;
 };
 
+std::map<SiteId, RegionId> RegionsOfSites(const Deployment& deployment) {
+  std::map<AvailabilityZoneId, RegionId> zones;
+  for (const AvailabilityZone& zone : deployment.m_availability_zones)
+    zones.emplace(zone.m_name, zone.m_region);
+  std::map<SiteId, RegionId> sites;
+  for (const Site& site : deployment.m_sites)
+    sites.emplace(site.m_name, zones[site.m_availability_zone]);
+  return sites;
+}
+
+RegionId RegionOf(const std::map<SiteId, RegionId>& sites, const SiteId& site) {
+  const auto found = sites.find(site);
+  return found == sites.end() ? RegionId() : found->second;
+}
+
 }  // namespace
 
 BlockChanges CompareBlocks(const std::vector<CallerBlock>& from,
@@ -137,6 +152,33 @@
   return merged;
 }
 
+std::uint32_t MovedPermille(const Deployment& from, const Deployment& to) {
+  const std::map<SiteId, RegionId> before = RegionsOfSites(from);
+  const std::map<SiteId, RegionId> after = RegionsOfSites(to);
+  std::map<std::string_view, RegionId> homes;
+  for (const CallerBlock& block : to.m_blocks)
+    homes.emplace(block.m_prefix, RegionOf(after, block.m_site));
+  struct Count {
+    std::uint64_t m_all = 0;
+    std::uint64_t m_moved = 0;
+  };
+  std::map<RegionId, Count> counts;
+  for (const CallerBlock& block : from.m_blocks) {
+    const RegionId region = RegionOf(before, block.m_site);
+    Count& count = counts[region];
+    ++count.m_all;
+    const auto home = homes.find(block.m_prefix);
+    if (home != homes.end() && home->second != region)
+      ++count.m_moved;
+  }
+  std::uint64_t largest = 0;
+  for (const auto& [region, count] : counts) {
+    largest = std::max(largest,
+                       (count.m_moved * 1000 + count.m_all - 1) / count.m_all);
+  }
+  return static_cast<std::uint32_t>(largest);
+}
+
 Deployment WithoutBlocks(const Deployment& deployment) {
   return {.m_number = deployment.m_number,
           .m_name = deployment.m_name,
--- a/src/config/difference.h
+++ b/src/config/difference.h
@@ -31,6 +31,11 @@
 std::vector<CallerBlock> MergeBlocks(const std::vector<CallerBlock>& from,
                                      const BlockChanges& changes);
 
+// Largest part, in permille and rounded up, of the blocks of a region whose
+// home is in another region afterwards. Blocks that are new or gone do not
+// count.
+std::uint32_t MovedPermille(const Deployment& from, const Deployment& to);
+
 // A copy of the document without its blocks.
 Deployment WithoutBlocks(const Deployment& deployment);
 
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -13,6 +13,7 @@
 
 // Bound of FeedChange.drains in the schema.
 constexpr std::size_t kMaxDrains = 4096;
+constexpr std::uint64_t kShiftWindowMs = 60000;
 
 template <class Object>
 bool HasName(const std::vector<Object>& objects, const std::string& name) {
@@ -74,6 +75,27 @@
   return std::nullopt;
 }
 
+std::optional<std::string> Configuration::ShiftProblem(
+    const Deployment& next,
+    std::uint64_t time) const {
+  const std::uint32_t cap = m_document->m_shift.m_max_permille_per_minute;
+  std::uint32_t moved = config::MovedPermille(*m_document, next);
+  if (moved == 0)
+    return std::nullopt;
+  for (const HistoryEntry& entry : m_history) {
+    if (entry.m_time + kShiftWindowMs > time)
+      moved += entry.m_moved_permille;
+  }
+  if (moved <= cap)
+    return std::nullopt;
+  return "$.blocks: found " + std::to_string(moved) +
+         " permille of the callers of a region moved to other regions within a "
+         "minute, allowed is " +
+         std::to_string(cap) +
+         " ($.shift.max_permille_per_minute of the document in force); move "
+         "them in several documents, or drain the region";
+}
+
 ApplyAnswer Configuration::Apply(const ApplyCommand& command,
                                  std::uint64_t index,
                                  std::uint64_t time) {
@@ -90,6 +112,10 @@
     return {.m_outcome = ApplyOutcome::kInvalid,
             .m_problems = {"the digest does not match the document"}};
   }
+  const std::optional<std::string> problem = ShiftProblem(document, time);
+  if (problem)
+    return {.m_outcome = ApplyOutcome::kInvalid, .m_problems = {*problem}};
+  const std::uint32_t moved = config::MovedPermille(*m_document, document);
   m_document = std::make_shared<const Deployment>(std::move(document));
   m_document_index = index;
   m_feed_index = index;
@@ -102,7 +128,8 @@
                        .m_index = index,
                        .m_digest = Hex(command.m_digest),
                        .m_operator_name = command.m_operator_name,
-                       .m_time = time});
+                       .m_time = time,
+                       .m_moved_permille = moved});
   return {.m_outcome = ApplyOutcome::kAccepted, .m_accepted = m_history.back()};
 }
 
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -29,6 +29,12 @@
   std::optional<ApplyAnswer> Recall(std::uint64_t number,
                                     const std::string& digest) const;
 
+  // What speaks against a document because it moves callers between regions:
+  // with the documents of the minute before `time`, at most the part that
+  // Shift::m_max_permille_per_minute of the document in force allows. A drain
+  // of a region moves more, in steps.
+  std::optional<std::string> ShiftProblem(const Deployment& next,
+                                          std::uint64_t time) const;
   // The document changed if FeedIndex() did.
   ApplyAnswer Apply(const ApplyCommand& command,
                     std::uint64_t index,
--- a/src/control/proposal.cc
+++ b/src/control/proposal.cc
@@ -37,6 +37,11 @@
   const auto known = current.Recall(canonical.m_number, digest);
   if (known)
     return {.m_answer = known};
+  const auto problem = current.ShiftProblem(canonical, state.Time());
+  if (problem) {
+    return {.m_answer = ApplyAnswer{.m_outcome = ApplyOutcome::kInvalid,
+                                    .m_problems = {*problem}}};
+  }
   config::BlockChanges changes =
       config::CompareBlocks(current.Document().m_blocks, canonical.m_blocks);
   return {.m_command = {
--- a/src/gen/control.h
+++ b/src/gen/control.h
@@ -166,6 +166,8 @@
       m_digest;  // digest of the document in hexadecimal form (at most 64)
   std::string m_operator_name;  // operator who applied it (at most 200)
   std::uint64_t m_time = 0;  // replicated time of acceptance, Unix milliseconds
+  std::uint32_t m_moved_permille = 0;  // largest part of the callers of a
+                                       // region that it moved to other regions
 
   friend auto operator<=>(const HistoryEntry&, const HistoryEntry&) = default;
 };
--- a/src/gen/control_json.cc
+++ b/src/gen/control_json.cc
@@ -102,6 +102,8 @@
               value.m_operator_name);
   reader.Read("time", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_time);
+  reader.Read("moved_permille", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_moved_permille);
   reader.RejectUnknownKeys();
 }
 
@@ -112,6 +114,7 @@
   PutJson(object, "digest", value.m_digest);
   PutJson(object, "operator_name", value.m_operator_name);
   PutJson(object, "time", value.m_time);
+  PutJson(object, "moved_permille", value.m_moved_permille);
   return object;
 }
 
--- a/src/gen/control_serialize.h
+++ b/src/gen/control_serialize.h
@@ -88,7 +88,8 @@
 template <class Archive>
 void serialize(Archive& archive, HistoryEntry& value) {
   archive(value.m_number, value.m_index, wire::Bounded(value.m_digest, 64),
-          wire::Bounded(value.m_operator_name, 200), value.m_time);
+          wire::Bounded(value.m_operator_name, 200), value.m_time,
+          value.m_moved_permille);
 }
 
 template <class Archive>
--- a/tests/unit/control_shift_test.cc
+++ b/tests/unit/control_shift_test.cc
@@ -224,5 +224,31 @@
   EXPECT_LE(moved, kCapPermille);
 }
 
+// Guards against a document that moves more callers at once than the cap of a
+// shift allows, in one document or in several of one minute.
+TEST_F(ShiftTest, DocumentsMoveCallersUnderTheCap) {
+  Deployment next = m_state.Config().Document();
+  const auto move_blocks = [&](int from, int to) {
+    for (int i = from; i < to; ++i)
+      next.m_blocks[static_cast<std::size_t>(i)].m_site = {"site-b"};
+    ++next.m_number;
+    return PrepareApply(m_state, next, "test");
+  };
+  const ApplyProposal small = move_blocks(0, kBlocks * 6 / 100);
+  ASSERT_FALSE(small.m_answer);
+  Apply(MakeCommand(small.m_command, m_wall));
+  m_wall += seconds(30);
+  RenewAll();
+  ApplyProposal second = move_blocks(kBlocks * 6 / 100, kBlocks * 12 / 100);
+  ASSERT_TRUE(second.m_answer);
+  EXPECT_EQ(second.m_answer->m_outcome, ApplyOutcome::kInvalid);
+  m_wall += seconds(31);
+  RenewAll();
+  second = PrepareApply(m_state, next, "test");
+  ASSERT_FALSE(second.m_answer);
+  Apply(MakeCommand(second.m_command, m_wall));
+  EXPECT_EQ(m_state.Config().Document().m_number, next.m_number);
+}
+
 }  // namespace
 }  // namespace jujube::control
