Keep the control daemon alive on a change of members and report its folder

Cause: POST /v1/members ended the leader with "free(): invalid pointer". GCC 12 destroys the lambda in the co_await expression twice, and it had captured the replica. The status also did not name the identity of the host's data folder, which an operator needs to add a replaced folder as a learner.

Change: the operation starts in a function of its own and takes the replica as an argument. ControlDaemonStatus has the field folder.

--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -162,6 +162,23 @@
       asio::use_awaitable, std::move(command));
 }
 
+// Outside the coroutine, because GCC 12 destroys the captured replica of a
+// lambda in a co_await expression twice.
+asio::awaitable<ProposalOutcome> OperatorApi::ProposeMembers(
+    consensus::MembershipStep step,
+    const VoterId& replica) {
+  return asio::async_initiate<const asio::use_awaitable_t<>,
+                              void(ProposalOutcome)>(
+      [this, step](auto handler, const VoterId& member) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        m_service.Runner().ChangeMembership(
+            step, member, [shared](const ProposalOutcome& outcome) {
+              std::move (*shared)(outcome);
+            });
+      },
+      asio::use_awaitable, replica);
+}
+
 asio::awaitable<bool> OperatorApi::IsCurrent() {
   return asio::async_initiate<const asio::use_awaitable_t<>, void(bool)>(
       [this](auto handler) {
@@ -179,6 +196,7 @@
   const consensus::ReplicaStatus replica = runner.ReplicaState();
   ControlDaemonStatus status{
       .m_host = m_host,
+      .m_folder = runner.Self().m_folder,
       .m_role = runner.IsStarted() ? std::string(RoleName(replica.m_role))
                                    : "founding",
       .m_term = replica.m_term,
@@ -360,18 +378,7 @@
   const auto step =
       static_cast<consensus::MembershipStep>(change.value().m_step);
   const VoterId replica = change.value().m_replica;
-  const ProposalOutcome outcome =
-      co_await asio::async_initiate<const asio::use_awaitable_t<>,
-                                    void(ProposalOutcome)>(
-          [this, step, replica](auto handler) {
-            auto shared =
-                std::make_shared<decltype(handler)>(std::move(handler));
-            m_service.Runner().ChangeMembership(
-                step, replica, [shared](const ProposalOutcome& result) {
-                  std::move (*shared)(result);
-                });
-          },
-          asio::use_awaitable);
+  const ProposalOutcome outcome = co_await ProposeMembers(step, replica);
   if (outcome.m_fate == ProposalFate::kRefused) {
     co_await RespondError(exchange, kConflict, outcome.m_error);
   } else if (outcome.m_fate != ProposalFate::kApplied) {
--- a/src/gen/control_status.h
+++ b/src/gen/control_status.h
@@ -31,7 +31,9 @@
 
 // State of a control daemon.
 struct ControlDaemonStatus {
-  HostId m_host;                      // this host
+  HostId m_host;  // this host
+  std::uint64_t m_folder =
+      0;  // identity of its data folder, needed to add it as a learner
   std::string m_role;                 // leader, follower, candidate or founding
   std::uint64_t m_term = 0;           // current term
   std::optional<HostId> m_leader;     // leader, if known
--- a/src/gen/control_status_json.cc
+++ b/src/gen/control_status_json.cc
@@ -39,6 +39,8 @@
   ObjectReader reader(json, path, problems);
   reader.Read("host", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_host);
+  reader.Read("folder", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_folder);
   reader.Read("role", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_role);
   reader.Read("term", Presence::kOptional, {std::nullopt, std::nullopt},
@@ -63,6 +65,7 @@
 boost::json::value ToJson(const ControlDaemonStatus& value) {
   boost::json::object object;
   PutJson(object, "host", value.m_host);
+  PutJson(object, "folder", value.m_folder);
   PutJson(object, "role", value.m_role);
   PutJson(object, "term", value.m_term);
   PutJson(object, "leader", value.m_leader);
