Add jujubectl, the command line of operators

Cause: documents, drains and members could only be changed with hand-made HTTP requests.

Parsing, the choice of the next control host, the judgement of an answer and the rendering are functions from values to values; the loop over control hosts takes its transport as a concept.

--- /dev/null
+++ b/src/ctl/host_cursor.cc
@@ -0,0 +1,26 @@
+#include "ctl/host_cursor.h"
+
+#include <utility>
+
+namespace jujube::ctl {
+
+Endpoint HostToAsk(const HostCursor& cursor) {
+  return cursor.m_leader
+             ? *cursor.m_leader
+             : cursor.m_hosts[cursor.m_next % cursor.m_hosts.size()];
+}
+
+HostCursor Advance(HostCursor cursor, std::optional<Endpoint> leader) {
+  ++cursor.m_attempts;
+  if (!cursor.m_leader)
+    cursor.m_next = (cursor.m_next + 1) % cursor.m_hosts.size();
+  cursor.m_leader = std::move(leader);
+  return cursor;
+}
+
+bool HasToWait(const HostCursor& cursor) {
+  // One more than the list, for the leader that the last host may have named.
+  return cursor.m_attempts > cursor.m_hosts.size();
+}
+
+}  // namespace jujube::ctl
--- /dev/null
+++ b/src/ctl/render.h
@@ -0,0 +1,25 @@
+// Readable text of reports.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "gen/ctl.h"
+#include "gen/deployment.h"
+
+namespace jujube::ctl {
+
+// What goes to standard output: tables and the message of success.
+std::string RenderText(const CtlReport& report);
+
+// What goes to standard error: problems and the message of a failure.
+std::string RenderError(const CtlReport& report);
+
+std::string EndpointText(const Endpoint& endpoint);  // 127.0.0.1:8093
+std::string DrainText(const Drain& drain);           // region luzon
+std::string TimeText(std::uint64_t unix_ms);         // 2026-01-31T08:00:00Z
+std::string NamesText(const std::vector<HostId>& hosts);  // e1, e2
+
+}  // namespace jujube::ctl
