Run jujubectl against three control daemons

Cause: exit codes, resends and the steps to replace a control host were not run through the real programs.

--- /dev/null
+++ b/tests/process/ctl_fixture.h
@@ -0,0 +1,272 @@
+// Starts control daemons and runs programs for the tests of jujubectl.
+
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+#include <boost/json.hpp>
+
+extern char** environ;
+
+namespace jujube::testing {
+
+struct ProgramResult {
+  int m_exit_code = -1;
+  std::string m_out;
+  std::string m_error;
+};
+
+inline std::string ReadText(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+inline void WriteText(const std::string& path, const std::string& text) {
+  std::ofstream(path) << text;
+}
+
+// Starts a program with its output in files.
+inline pid_t StartProgram(const std::string& program,
+                          std::vector<std::string> arguments,
+                          const std::string& out,
+                          const std::string& error) {
+  arguments.insert(arguments.begin(), program);
+  std::vector<char*> argv;
+  for (std::string& argument : arguments)
+    argv.push_back(argument.data());
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out.c_str(), kFlags,
+                                   0600);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error.c_str(),
+                                   kFlags, 0600);
+  pid_t pid = -1;
+  const int failed = posix_spawn(&pid, program.c_str(), &actions, nullptr,
+                                 argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  EXPECT_EQ(failed, 0) << program;
+  return failed == 0 ? pid : -1;
+}
+
+inline int WaitForExit(pid_t pid) {
+  int status = 0;
+  if (pid <= 0 || ::waitpid(pid, &status, 0) != pid)
+    return -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+// Ports that the kernel chose. The sockets are open at the same time, so no
+// port is given twice; another process could take one before it is used.
+inline std::vector<int> FreePorts(std::size_t count) {
+  std::vector<int> sockets;
+  std::vector<int> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    EXPECT_EQ(::bind(descriptor, generic, size), 0);
+    EXPECT_EQ(::getsockname(descriptor, generic, &size), 0);
+    sockets.push_back(descriptor);
+    ports.push_back(ntohs(address.sin_port));
+  }
+  for (const int descriptor : sockets)
+    ::close(descriptor);
+  return ports;
+}
+
+// Three control daemons in a temporary folder, stopped at the end.
+class CtlFixture : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kHosts = 3;
+
+  void SetUp() override {
+    std::string folder =
+        (std::filesystem::temp_directory_path() / "jujube-ctl-XXXXXX").string();
+    ASSERT_NE(::mkdtemp(folder.data()), nullptr);
+    m_folder = folder;
+    WriteText(Path("peer.key"), "peer-key-of-the-ctl-test\n");
+    WriteText(Path("operator.key"), "operator-key-of-the-ctl-test\n");
+    m_ports = FreePorts(2 * kHosts);
+    m_daemons.assign(kHosts, -1);
+    for (std::size_t i = 0; i < kHosts; ++i)
+      StartControl(i, "data-" + std::to_string(i), false);
+  }
+
+  void TearDown() override {
+    for (std::size_t i = 0; i < kHosts; ++i)
+      StopControl(i, SIGTERM);
+    if (HasFailure()) {
+      for (std::size_t i = 0; i < kHosts; ++i)
+        std::cerr << ReadText(Path("control-" + std::to_string(i) + ".log"));
+    }
+    std::filesystem::remove_all(m_folder);
+  }
+
+  std::string Path(const std::string& name) const {
+    return m_folder + "/" + name;
+  }
+  static std::string HostName(std::size_t host) {
+    return "control-" + std::to_string(host + 1);
+  }
+  std::string Listener(std::size_t host) const {
+    return "127.0.0.1:" + std::to_string(m_ports[2 * host + 1]);
+  }
+
+  void StartControl(std::size_t host, const std::string& data, bool join) {
+    boost::json::array peers;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      peers.push_back(
+          {{"host", HostName(i)},
+           {"peer", {{"address", "127.0.0.1"}, {"port", m_ports[2 * i]}}},
+           {"operator",
+            {{"address", "127.0.0.1"}, {"port", m_ports[2 * i + 1]}}}});
+    }
+    const boost::json::object settings{
+        {"host", HostName(host)},
+        {"availability_zone", "luz-a"},
+        {"peers", peers},
+        {"data_folder", Path(data)},
+        {"join", join},
+        {"peer_key_file", Path("peer.key")},
+        {"operator_key_file", Path("operator.key")}};
+    const std::string name = "control-" + std::to_string(host);
+    WriteText(Path(name + ".json"), boost::json::serialize(settings));
+    m_daemons[host] =
+        StartProgram(std::string(JUJUBE_BIN_DIR) + "/jujube-controld",
+                     {"--settings", Path(name + ".json")}, Path(name + ".log"),
+                     Path(name + ".log"));
+  }
+
+  void StopControl(std::size_t host, int signal) {
+    if (m_daemons[host] <= 0)
+      return;
+    ::kill(m_daemons[host], SIGCONT);
+    ::kill(m_daemons[host], signal);
+    WaitForExit(m_daemons[host]);
+    m_daemons[host] = -1;
+  }
+
+  void SignalControl(std::size_t host, int signal) {
+    ::kill(m_daemons[host], signal);
+  }
+
+  // Runs jujubectl without the flags of the cluster.
+  ProgramResult CtlBare(const std::vector<std::string>& arguments) {
+    const std::string base = Path("run-" + std::to_string(m_runs++));
+    const pid_t pid = StartProgram(std::string(JUJUBE_BIN_DIR) + "/jujubectl",
+                                   arguments, base + ".out", base + ".err");
+    const int exit_code = WaitForExit(pid);
+    return {.m_exit_code = exit_code,
+            .m_out = ReadText(base + ".out"),
+            .m_error = ReadText(base + ".err")};
+  }
+
+  // Runs jujubectl against the three hosts, `first` being the first in the
+  // list. It waits for an election by itself.
+  ProgramResult CtlFrom(std::size_t first, std::vector<std::string> arguments) {
+    std::string control;
+    for (std::size_t i = 0; i < kHosts; ++i)
+      control += (i > 0 ? "," : "") + Listener((first + i) % kHosts);
+    arguments.insert(arguments.begin(),
+                     {"--control=" + control,
+                      "--key_file=" + Path("operator.key"), "--operator=ana"});
+    return CtlBare(arguments);
+  }
+  ProgramResult Ctl(std::vector<std::string> arguments) {
+    return CtlFrom(0, std::move(arguments));
+  }
+
+  // Output of the command with --json.
+  boost::json::object Json(std::vector<std::string> arguments) {
+    arguments.emplace_back("--json");
+    const ProgramResult result = Ctl(std::move(arguments));
+    boost::json::error_code error;
+    const boost::json::value json = boost::json::parse(result.m_out, error);
+    EXPECT_FALSE(error) << result.m_out << result.m_error;
+    return json.is_object() ? json.get_object() : boost::json::object();
+  }
+
+  // The state of a control host, or nullptr if it did not answer.
+  static const boost::json::object* HostState(const boost::json::object& report,
+                                              std::size_t host) {
+    const auto& one = report.at("hosts").as_array().at(host).as_object();
+    const auto* status = one.if_contains("status");
+    return status != nullptr ? &status->as_object() : nullptr;
+  }
+
+  // Repeats status until the predicate holds for its report. The test's own
+  // time limit ends the wait.
+  template <class Predicate>
+  boost::json::object WaitForStatus(Predicate predicate) {
+    while (true) {
+      boost::json::object report = Json({"status", "--timeout_ms=5000"});
+      if (predicate(report))
+        return report;
+      ::usleep(kPollMicroseconds);
+    }
+  }
+
+  std::size_t WaitForLeader() {
+    std::size_t leader = 0;
+    WaitForStatus([&](const boost::json::object& report) {
+      for (std::size_t i = 0; i < kHosts; ++i) {
+        const auto* state = HostState(report, i);
+        if (state != nullptr && state->at("role") == "leader") {
+          leader = i;
+          return true;
+        }
+      }
+      return false;
+    });
+    return leader;
+  }
+
+  // A valid document; max_in_progress tells one from the other.
+  std::string Document(int number, int max_in_progress = 40) {
+    const std::string path = Path("doc-" + std::to_string(number) + "-" +
+                                  std::to_string(max_in_progress) + ".json");
+    WriteText(path, R"({"number":)" + std::to_string(number) +
+                        R"(,"name":"sample","regions":[{"name":"luzon",)"
+                        R"("max_in_progress":)" +
+                        std::to_string(max_in_progress) +
+                        R"(}],"availability_zones":[{"name":"luz-a",)"
+                        R"("region":"luzon"}],"sites":[{"name":"depot-1",)"
+                        R"("availability_zone":"luz-a"}],"entry_hosts":[)"
+                        R"({"name":"e1","availability_zone":"luz-a",)"
+                        R"("caller":{"port":7001},"peer":{"port":7002}}],)"
+                        R"("services":[{"name":"pumplog"}],"blocks":[)"
+                        R"({"prefix":"10.1.0.0/16","site":"depot-1"}]})");
+    return path;
+  }
+
+  static constexpr unsigned kPollMicroseconds = 50000;
+
+  std::string m_folder;
+  std::vector<int> m_ports;  // peer and operator listener of each host
+  std::vector<pid_t> m_daemons;
+  int m_runs = 0;
+};
+
+}  // namespace jujube::testing
