Close inherited descriptors in started programs of the process tests

Cause: two tests hung and one ended with 'Address already in use'. Asio opens sockets without close-on-exec, so a restarted daemon held the relay's connections and listeners open. Ruled out: a fault of elections, since both voters were up and held the membership. Change: close_range after fork.

--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -50,6 +50,9 @@
       _exit(EXIT_FAILURE);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // Sockets of Asio are inherited. A relay's connection would not end for
+    // its peer while a child holds it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(argv[0], argv.data());
     _exit(EXIT_FAILURE);
   }
