--- /dev/null
+++ b/tools/control_measure.py
@@ -0,0 +1,142 @@
+#!/usr/bin/env python3
+"""Measures the control daemons of examples/cooperative with its 7 entry hosts.
+
+Usage: tools/control_measure.py BUILD_FOLDER
+Starts the daemons on loopback addresses of its own, prints a table, ends them.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLE = ROOT / "examples/cooperative"
+KEY = (ROOT / "examples/keys/operator.key").read_text().strip()
+NETWORK = f"127.77.{os.getpid() % 250}."
+HANG_LIMIT_S = 120
+CHANGES = 500
+
+
+def call(host, method, path, body=None):
+    connection = http.client.HTTPConnection(f"{NETWORK}{10 + host}", 8093, timeout=10)
+    try:
+        connection.request(method, path, body, {"Authorization": "Bearer " + KEY})
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    except (OSError, http.client.HTTPException):
+        return 0, {}
+    finally:
+        connection.close()
+
+
+def wait(condition):
+    limit = time.monotonic() + HANG_LIMIT_S
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > limit:
+            raise TimeoutError("hang limit passed")
+        time.sleep(0.002)
+
+
+def find_leader(hosts=(1, 2, 3)):
+    return next((h for h in hosts if call(h, "GET", "/v1/history")[0] == 200), None)
+
+
+def apply(leader, document, number):
+    document["number"] = number
+    text = json.dumps(document)
+    start = time.monotonic()
+    status, answer = call(leader, "POST", "/v1/apply", text)
+    if status != 200:
+        raise RuntimeError(f"apply {number}: {status} {answer}")
+    return time.monotonic() - start
+
+
+def in_force(leader, number):
+    _, status = call(leader, "GET", "/v1/status")
+    return bool(status) and status["state"]["number"] == number and not status["lagging"]
+
+
+def percentile(values, permille):
+    return sorted(values)[min(len(values) - 1, len(values) * permille // 1000)] * 1000
+
+
+def main():
+    build = pathlib.Path(sys.argv[1]).resolve()
+    running = {}
+    with tempfile.TemporaryDirectory() as folder:
+        def start(program, name):
+            text = (EXAMPLE / f"{name}.json").read_text().replace("127.0.1.", NETWORK)
+            settings = pathlib.Path(folder) / f"{name}.json"
+            settings.write_text(text.replace(".run/", folder + "/"))
+            (pathlib.Path(folder) / "cooperative").mkdir(exist_ok=True)
+            with open(pathlib.Path(folder) / f"{name}.log", "ab") as log:
+                running[name] = subprocess.Popen(
+                    [build / program, "--settings", settings], cwd=ROOT, stdout=log, stderr=log)
+
+        try:
+            for host in (1, 2, 3):
+                start("jujube-controld", f"control-{host}")
+            for host in range(1, 8):
+                start("jujube-entryd", f"entry-{host}")
+            document = json.loads(
+                (EXAMPLE / "deployment.json").read_text().replace("127.0.1.", NETWORK))
+            leader = wait(find_leader)
+            number = 1
+            apply(leader, document, number)
+            wait(lambda: in_force(leader, number))
+
+            commits, forces = [], []
+            for _ in range(50):
+                number += 1
+                begin = time.monotonic()
+                commits.append(apply(leader, document, number))
+                wait(lambda: in_force(leader, number))
+                forces.append(time.monotonic() - begin)
+            print(f"apply, request to response     p50 {percentile(commits, 500):8.1f} ms"
+                  f"  p99 {percentile(commits, 990):8.1f} ms  n {len(commits)}")
+            print(f"in force on 7 entry hosts      p50 {percentile(forces, 500):8.1f} ms"
+                  f"  p99 {percentile(forces, 990):8.1f} ms  n {len(forces)}")
+
+            missing = 1 if leader != 1 else 2
+            running[f"control-{missing}"].kill()
+            running[f"control-{missing}"].wait()
+            for _ in range(CHANGES):
+                number += 1
+                apply(leader, document, number)
+            begin = time.monotonic()
+            start("jujube-controld", f"control-{missing}")
+            wait(lambda: call(missing, "GET", "/v1/status")[1]
+                 .get("state", {}).get("number") == number)
+            print(f"catch-up after {CHANGES} changes         {(time.monotonic() - begin) * 1000:8.1f} ms"
+                  "  start of the process included")
+
+            times = []
+            for _ in range(5):
+                leader = wait(find_leader)
+                begin = time.monotonic()
+                running[f"control-{leader}"].kill()
+                running[f"control-{leader}"].wait()
+                others = tuple(h for h in (1, 2, 3) if h != leader)
+                wait(lambda: find_leader(others))
+                times.append(time.monotonic() - begin)
+                start("jujube-controld", f"control-{leader}")
+                wait(lambda: call(leader, "GET", "/v1/status")[1]
+                     .get("state", {}).get("number") == number)
+            print(f"new leader after a kill        p50 {percentile(times, 500):8.1f} ms"
+                  f"  max {max(times) * 1000:8.1f} ms  n {len(times)}")
+        finally:
+            for process in running.values():
+                process.kill()
+                process.wait()
+
+
+if __name__ == "__main__":
+    main()
