--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -196,7 +196,7 @@
   const consensus::ReplicaStatus replica = runner.ReplicaState();
   ControlDaemonStatus status{
       .m_host = m_host,
-      .m_folder = runner.Self().m_folder,
+      .m_replica = runner.Self(),
       .m_role = runner.IsStarted() ? std::string(RoleName(replica.m_role))
                                    : "founding",
       .m_term = replica.m_term,
@@ -234,6 +234,7 @@
     co_return;
   }
   if (path == "/v1/status") {
+    m_service.Runner().CheckLeadership();
     co_await RespondJson(exchange, kOk, ToJson(CurrentStatus()));
     co_return;
   }
--- a/src/ctl/render.cc
+++ b/src/ctl/render.cc
@@ -62,8 +62,8 @@
     const ControlDaemonStatus& status = *host.m_status;
     rows.push_back({status.m_host.m_value, status.m_role, Number(status.m_term),
                     Number(status.m_commit_index),
-                    Number(status.m_applied_index), Number(status.m_folder),
-                    listener});
+                    Number(status.m_applied_index),
+                    Number(status.m_replica.m_folder), listener});
   }
   return Table(rows);
 }
