Trace each request at the entry host and count refusals and retries

Cause: spans could be exported but no request made any, the upstream got no traceparent, and request seconds, refusals and retries stayed at zero.

Change: Tracer and SpanScope (src/entry) give a span to the request and to admission, claim, each attempt, select, connect, send and response. The traceparent of the caller is continued and the upstream gets the span of the attempt; without a span file the header of the caller is passed unchanged. A scope that is not sampled holds identifiers only: no lock, clock or allocation. RequestMetrics keeps the references to metrics per worker. The second parser of traceparent (src/request) is removed and its test runs against the one of src/observe.

No process test was run; the tree has none.

--- a/src/entry/attempt_runner.cc
+++ b/src/entry/attempt_runner.cc
@@ -51,15 +51,31 @@
     std::uint64_t incarnation,
     const OutgoingRequest& request,
     bool may_reuse) {
-  if (!co_await Open(endpoint, incarnation, may_reuse))
+  // Each scope ends with its step or, on a failure, with this function.
+  SpanScope connect = m_span.Child("connect");
+  if (!co_await Open(endpoint, incarnation, may_reuse)) {
+    connect.Fail();
     co_return std::move(m_result);
-  if (!co_await Send(request))
+  }
+  connect.Set("reused", m_result.m_attempt.m_is_reused_connection);
+  connect.End();
+  SpanScope send = m_span.Child("send");
+  if (!co_await Send(request)) {
+    send.Fail();
     co_return std::move(m_result);
+  }
+  send.End();
+  SpanScope response = m_span.Child("response");
   std::optional<ResponseHead> head = co_await ReadHead();
-  if (!head)
+  if (!head) {
+    response.Fail();
     co_return std::move(m_result);
+  }
+  response.Set("http.status", head->m_status);
   const bool has_body = request.m_head.m_method != "HEAD";
   co_await TakeResponse(*std::move(head), has_body);
+  if (m_result.m_failure)
+    response.Fail();
   const bool is_whole =
       !m_result.m_failure || *m_result.m_failure == Failure::kNotStarted;
   if (is_whole && m_connection != nullptr) {
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -16,6 +16,7 @@
 #include "core/clock.h"
 #include "entry/connection_pool.h"
 #include "entry/link_pacer.h"
+#include "entry/span_scope.h"
 #include "gen/claims.h"
 #include "gen/http.h"
 #include "net/http_exchange.h"
@@ -46,11 +47,13 @@
   AttemptRunner(net::HttpExchange& exchange,
                 ConnectionPool& pool,
                 const LinkPacer& pacer,
-                MonoTime deadline)
+                MonoTime deadline,
+                const SpanScope& span)
       : m_exchange(exchange),
         m_pool(pool),
         m_pacer(pacer),
-        m_deadline(deadline) {}
+        m_deadline(deadline),
+        m_span(span) {}
 
   // `may_reuse`: an idle connection is allowed. A request that must not repeat
   // gets a new one, since a write on an idle connection that is being closed
@@ -82,6 +85,7 @@
   ConnectionPool& m_pool;
   const LinkPacer& m_pacer;
   const MonoTime m_deadline;
+  const SpanScope& m_span;  // of the attempt
   std::unique_ptr<net::HttpConnection> m_connection;
   AttemptResult m_result;
 };
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -10,6 +10,7 @@
 #include "gen/types.h"
 #include "observe/counter.h"
 #include "observe/gauge.h"
+#include "observe/span_exporter.h"
 #include "rcu/cell.h"
 
 namespace jujube::entry {
@@ -25,6 +26,8 @@
   std::atomic<std::uint32_t> m_in_progress = 0;   // requests being carried
   std::atomic<std::uint64_t> m_next_attempt = 1;  // numbers claims
 
+  observe::SpanExporter m_spans;  // takes spans from any thread
+
   observe::Counter& m_lookups;
   observe::Counter& m_not_run;  // requests by verdict
   observe::Counter& m_ran;
--- a/src/entry/forwarder.cc
+++ b/src/entry/forwarder.cc
@@ -117,6 +117,7 @@
   Verdict m_verdict = Verdict::kNotRun;  // of all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
+  SpanScope m_span;  // of the request at this host
 
   // Verdict of a refusal before the store of claims was asked. An earlier
   // attempt with the same key may have run through another entry host; only a
@@ -135,6 +136,7 @@
     : m_shared(shared),
       m_claims(claims),
       m_pool(executor, shared.m_settings.m_pool_per_instance),
+      m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
       m_selector(seed) {}
 
 asio::awaitable<void> Forwarder::Handle(net::HttpExchange& exchange) {
@@ -148,7 +150,13 @@
   Request request;
   request.m_route = std::move(route).value();
   request.m_received = MonoClock::now();
+  request.m_span = m_tracer.StartRequest(exchange.Head().m_headers);
+  request.m_span.Set("service", request.m_route.m_service.m_value);
+  SpanScope admission = request.m_span.Child("admission");
   const std::optional<Refusal> refusal = Admit(exchange, request);
+  if (refusal)
+    admission.Fail();
+  admission.End();
   if (refusal) {
     request.m_verdict = refusal->m_verdict;
     Count(request);
@@ -174,7 +182,15 @@
   m_shared.m_in_progress.fetch_sub(1, std::memory_order_relaxed);
 }
 
-void Forwarder::Count(const Request& request) {
+void Forwarder::Count(Request& request) {
+  request.m_span.Set("verdict", VerdictText(request.m_verdict));
+  request.m_span.Set("attempts", request.m_attempts);
+  if (request.m_budget != nullptr) {
+    m_metrics.Of(request.m_route.m_service)
+        .m_seconds.Observe(
+            std::chrono::duration<double>(MonoClock::now() - request.m_received)
+                .count());
+  }
   switch (request.m_verdict) {
     case Verdict::kNotRun:
       m_shared.m_not_run.Add();
@@ -197,6 +213,7 @@
   const steering::ServiceUpstreams* service =
       steering::FindService(*view.m_upstreams, request.m_route.m_service);
   if (service == nullptr) {
+    m_metrics.Refused(RefusalCause::kNoService);
     return Refusal{
         .m_status = 404,
         .m_reason = "there is no service " + request.m_route.m_service.m_value};
@@ -211,8 +228,10 @@
       request.m_received, request.m_route.m_stated_deadline,
       request.m_service.m_default_deadline);
   const std::optional<Refusal> bad_key = CheckKey(request);
-  if (bad_key)
+  if (bad_key) {
+    m_metrics.Refused(RefusalCause::kBadKey);
     return bad_key;
+  }
   const steering::AdmissionAnswer answer = steering::DecideAdmission(
       {.m_is_host_draining = view.m_is_refusing,
        .m_priority = request.m_service.m_priority,
@@ -224,6 +243,7 @@
            request::Remaining(request.m_deadline, request.m_received)});
   if (answer == steering::AdmissionAnswer::kAdmitted)
     return std::nullopt;
+  m_metrics.Refused(answer);
   NoteRefusedDemand(view, *service);
   return Refusal{.m_status = 503,
                  .m_verdict = request.UnclaimedVerdict(),
@@ -262,6 +282,7 @@
   Result<std::string> body =
       co_await exchange.ReadAll(request.m_service.m_max_body_bytes);
   if (!body) {
+    m_metrics.Refused(RefusalCause::kBody);
     request.m_verdict = request.UnclaimedVerdict();
     co_return Refusal{.m_status = 413,
                       .m_verdict = request.m_verdict,
@@ -284,8 +305,11 @@
       .m_attempt = request.m_attempt_number,
       .m_digest = Sha256(head.m_method + "\n" + request.m_route.m_target +
                          "\n" + request.m_outgoing.m_body)};
+  SpanScope step = request.m_span.Child("claim");
   const std::optional<ClaimReply> reply =
       co_await m_claims.Claim(claim, request.m_deadline.m_at);
+  step.Set("outcome", reply ? ToString(reply->m_outcome) : "unknown");
+  step.End();
   if (reply && reply->m_outcome == ClaimOutcome::kGranted) {
     request.m_is_claimed = true;
     co_return true;
@@ -299,6 +323,7 @@
       RefusalOfClaim(reply ? std::optional(reply->m_outcome) : std::nullopt,
                      request.UnclaimedVerdict());
   request.m_verdict = refusal.m_verdict;
+  m_metrics.Refused(RefusalCause::kClaim);
   co_await Refuse(exchange, refusal);
   co_return false;
 }
@@ -321,18 +346,31 @@
                                        Request& request) {
   request.m_budget->OnRequest(request.m_service.m_retry_budget_permille);
   while (true) {
+    SpanScope attempt = request.m_span.Child("attempt");
+    SpanScope step = attempt.Child("select");
     std::optional<steering::Selection> selection = Select(request);
+    step.End();
     if (!selection) {
+      attempt.Fail();
+      attempt.End();
       co_await RespondWithoutUpstream(exchange, request);
       co_return;
     }
-    ++request.m_attempts;
+    if (++request.m_attempts > 1)
+      m_metrics.Of(request.m_route.m_service).m_retries.Add();
     request.m_tried.push_back(selection->m_instance);
-    AttemptResult result = co_await Attempt(exchange, request, *selection);
+    AttemptResult result =
+        co_await Attempt(exchange, request, *selection, attempt);
     request.m_region_permit.Reset();
     request.m_slot_permit.Reset();
     request.m_verdict = request::Combine(request.m_verdict,
                                          request::VerdictOf(result.m_attempt));
+    attempt.Set("verdict", VerdictText(request::VerdictOf(result.m_attempt)));
+    if (result.m_failure) {
+      attempt.Set("error", result.m_error);
+      attempt.Fail();
+    }
+    attempt.End();
     if (!result.m_failure) {
       co_await RespondWithAnswer(exchange, request, std::move(result));
       co_return;
@@ -398,15 +436,19 @@
 asio::awaitable<AttemptResult> Forwarder::Attempt(
     net::HttpExchange& exchange,
     Request& request,
-    steering::Selection& selection) {
+    steering::Selection& selection,
+    SpanScope& span) {
+  span.Set("upstream.instance", selection.m_instance.m_value);
+  span.Set("upstream.region", selection.m_region.m_value);
   const MonoTime started = MonoClock::now();
   const milliseconds remaining =
       request::RemainingFor(request.m_deadline, started, selection.m_delay)
           .value_or(milliseconds(1));
   request.m_outgoing.m_head =
-      UpstreamHead(exchange.Head(), request.m_route, remaining, "");
+      UpstreamHead(exchange.Head(), request.m_route, remaining,
+                   m_tracer.Outgoing(span, exchange.Head().m_headers));
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
-  AttemptRunner runner(exchange, m_pool, pacer, request.m_deadline.m_at);
+  AttemptRunner runner(exchange, m_pool, pacer, request.m_deadline.m_at, span);
   AttemptResult result =
       co_await runner.Run(selection.m_endpoint, selection.m_incarnation,
                           request.m_outgoing, request.m_is_repeatable);
@@ -432,6 +474,8 @@
        .m_attempts = request.m_attempts,
        .m_remaining = request::Remaining(request.m_deadline, MonoClock::now())},
       request.m_service.m_retry_budget_permille, *request.m_budget);
+  if (answer != steering::RetryAnswer::kRetry)
+    m_metrics.RetryDenied(answer);
   return answer == steering::RetryAnswer::kRetry;
 }
 
@@ -453,6 +497,8 @@
     net::HttpExchange& exchange,
     Request& request) {
   Finish(request, std::nullopt);
+  if (request.m_attempts == 0)
+    m_metrics.Refused(RefusalCause::kNoSlot);
   const Refusal refusal{.m_status = 503,
                         .m_verdict = request.m_verdict,
                         .m_reason = "no instance has a free slot",
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -18,7 +18,9 @@
 #include "entry/connection_pool.h"
 #include "entry/entry_shared.h"
 #include "entry/refusal.h"
+#include "entry/request_metrics.h"
 #include "entry/route.h"
+#include "entry/tracer.h"
 #include "gen/claims.h"
 #include "request/deadline.h"
 #include "steering/headroom_latency_policy.h"
@@ -53,7 +55,8 @@
                                      Request& request);
   boost::asio::awaitable<AttemptResult> Attempt(net::HttpExchange& exchange,
                                                 Request& request,
-                                                steering::Selection& selection);
+                                                steering::Selection& selection,
+                                                SpanScope& span);
   std::optional<steering::Selection> Select(Request& request);
   void NoteRefusedDemand(const ServingView& view,
                          const steering::ServiceUpstreams& service);
@@ -68,11 +71,13 @@
                                                 Request& request,
                                                 const AttemptResult& result);
   void Finish(Request& request, std::optional<StoredAnswer> answer);
-  void Count(const Request& request);
+  void Count(Request& request);
 
   EntryShared& m_shared;
   ClaimClient& m_claims;
   ConnectionPool m_pool;
+  Tracer m_tracer;
+  RequestMetrics m_metrics;
   std::size_t m_next_refusal = 0;
   steering::Selector<steering::HeadroomLatencyPolicy> m_selector;
 };
--- a/tests/unit/observe_trace_test.cc
+++ b/tests/unit/observe_trace_test.cc
@@ -66,6 +66,20 @@
   EXPECT_FALSE(ParseTraceparent("01" + std::string(kHeader).substr(2) + "x"));
 }
 
+TEST(Traceparent, ParsesAndRefusesAsTheRecommendationSays) {
+  const std::string text =
+      "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  EXPECT_EQ(ToTraceparent(ParseTraceparent(text).value()), text);
+  EXPECT_TRUE(ParseTraceparent("01" + text.substr(2) + "-later"));
+  for (const std::string& bad :
+       {std::string(), text.substr(1), text + "-x", text + "0",
+        "ff" + text.substr(2), "01" + text.substr(2) + "x",
+        "00-" + std::string(32, '0') + text.substr(35),
+        text.substr(0, 36) + std::string(16, '0') + "-01",
+        "00-0AF7651916CD43DD8448EB211C80319C" + text.substr(35)})
+    EXPECT_FALSE(ParseTraceparent(bad)) << bad;
+}
+
 TEST(Sampling, FollowsTheSettingAndTheParent) {
   std::mt19937_64 random(1);
   int sampled = 0;
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -5,7 +5,6 @@
 #include "request/deadline.h"
 #include "request/host_drain.h"
 #include "request/idempotency_key.h"
-#include "request/trace_context.h"
 
 namespace jujube::request {
 namespace {
@@ -58,20 +57,6 @@
   EXPECT_EQ(CheckAge(key, UnixMillis(699999), retention), KeyAge::kTooEarly);
 }
 
-TEST(TraceContext, ParsesAndRefusesAsTheRecommendationSays) {
-  const std::string text =
-      "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
-  EXPECT_EQ(ToTraceparent(ParseTraceparent(text).value()), text);
-  EXPECT_TRUE(ParseTraceparent("01" + text.substr(2) + "-later"));
-  for (const std::string& bad :
-       {std::string(), text.substr(1), text + "-x", text + "0",
-        "ff" + text.substr(2), "01" + text.substr(2) + "x",
-        "00-" + std::string(32, '0') + text.substr(35),
-        text.substr(0, 36) + std::string(16, '0') + "-01",
-        "00-0AF7651916CD43DD8448EB211C80319C" + text.substr(35)})
-    EXPECT_FALSE(ParseTraceparent(bad)) << bad;
-}
-
 // Guards against a stop that loses callers whose look-up still names the host.
 TEST(HostDrain, WaitsForLookupsLifetimesAndRequestsInThisOrder) {
   const DrainLimits limits{.m_lookup_lifetime = milliseconds(5000)};
