Fill the declared metrics and emit the declared log events

Cause: of the metrics in the catalogue only look-ups, requests, in-progress and the index moved; 17 log events were documented and never emitted.

Change: ControlMetrics sets the gauges of the entry host's control thread once a second (instances, ejections, slots, feed age, lease, frames) and the use of links and regions with each renewal. FrameMetrics passes the frame counters on, for both daemons; the control daemon also shows its feed. jujube_shifted_permille goes, since no shift is made yet. Events are logged at their cause in the entry and control daemons. Removed, for lack of one: InstanceRestored, RequestsRefused, RetryBudgetSpent, ShiftStep, ShiftHeld, ElectionStarted (the replica reports no candidacy); refusals and denied retries are metrics now.

The catalogue test was seen to fail while DocumentBaseChanged was not emitted.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 #include "feed/change.h"
 #include "observe/log.h"
+#include "observe/metrics.h"
 
 namespace jujube::controld {
 
@@ -19,6 +20,19 @@
 // Without renewals, expired leases and lost hosts are recorded this often.
 constexpr milliseconds kIdleRenewal{1000};
 
+// Only the replica that proposed a claim logs it, so each one is logged once.
+void LogClaim(const ClaimRequest& request, const ClaimReply& reply) {
+  if (reply.m_outcome == ClaimOutcome::kStoreFull) {
+    observe::Log(LogEvent::kClaimStoreFull,
+                 {{"service", request.m_service.m_value}});
+  } else if (reply.m_outcome == ClaimOutcome::kConflict) {
+    observe::Log(LogEvent::kClaimConflict,
+                 {{"service", request.m_service.m_value},
+                  {"host", request.m_host.m_value},
+                  {"key", request.m_key}});
+  }
+}
+
 UnixMillis WallNow() {
   return SystemClock().WallNow();
 }
@@ -97,12 +111,25 @@
 
 void ControlService::OnApplied(std::uint64_t index,
                                const control::CommandResult& result) {
+  if (result.m_feed_changed)
+    LogPendingCaps();
   if (std::holds_alternative<control::RenewAnswers>(result.m_answer))
     m_lease_clock.OnCommitted(index, MonoClock::now());
   if (result.m_feed_changed)
     PublishFeed(&result);
 }
 
+// Logged by the leader alone, once for each document.
+void ControlService::LogPendingCaps() const {
+  if (!m_runner.IsLeader())
+    return;
+  for (const limits::Cap& cap : m_runner.State().Ledger().Pending()) {
+    observe::Log(LogEvent::kCapPending, {{"kind", ToString(cap.m_limit.m_kind)},
+                                         {"limit", cap.m_limit.m_name},
+                                         {"cap", cap.m_size}});
+  }
+}
+
 void ControlService::PublishFeed(const control::CommandResult* result) {
   const control::StateMachine& state = m_runner.State();
   if (state.Config().FeedIndex() == 0)
@@ -134,15 +161,33 @@
   return leader->m_peer;
 }
 
+// ---- Metrics ---------------------------------------------------------------
+
+// With each renewal, at least once a second.
+void ControlService::UpdateMetrics() {
+  if (m_frames.m_counters != nullptr)
+    m_frame_metrics.Update(*m_frames.m_counters);
+  observe::GaugeOf(Metric::kConfigIndex)
+      .Set(static_cast<std::int64_t>(m_runner.State().Config().FeedIndex()));
+  observe::GaugeOf(Metric::kFeedAge).Set(m_runner.LeaderlessTime().count());
+  observe::GaugeOf(Metric::kFeedSubscribers)
+      .Set(static_cast<std::int64_t>(m_feed.Subscribers()));
+  const std::uint64_t snapshots = m_feed.Source().SnapshotsStarted();
+  observe::CounterOf(Metric::kFeedSnapshots)
+      .Add(snapshots - std::exchange(m_snapshots_started, snapshots));
+}
+
 // ---- Claims ----------------------------------------------------------------
 
 void ControlService::OnClaim(const net::FrameSource& source,
                              const ClaimRequest& request) {
   m_runner.Propose(
       control::MakeCommand(request, WallNow()),
-      [this, source](const ProposalOutcome& outcome) {
+      [this, source, request](const ProposalOutcome& outcome) {
         if (outcome.m_fate == ProposalFate::kApplied) {
-          source.Reply(std::get<ClaimReply>(outcome.m_result->m_answer));
+          const auto& reply = std::get<ClaimReply>(outcome.m_result->m_answer);
+          LogClaim(request, reply);
+          source.Reply(reply);
         } else if (outcome.m_fate == ProposalFate::kNotLeader) {
           source.Reply(ClaimReply{.m_outcome = ClaimOutcome::kNotLeader,
                                   .m_leader = LeaderHint()});
@@ -173,6 +218,11 @@
     return;
   }
   const MonoTime now = MonoClock::now();
+  if (request.m_sequence == 1) {
+    observe::Log(LogEvent::kEntryHostRegistered,
+                 {{"host", request.m_host.m_value},
+                  {"incarnation", request.m_incarnation}});
+  }
   m_watch.OnRenewal(request.m_host, request.m_incarnation, now);
   if (!m_planner.OnRequest(request, now))
     return;
@@ -195,6 +245,7 @@
 void ControlService::ProposeRenewal() {
   m_is_renewal_due = false;
   ScheduleRenewal(kIdleRenewal);
+  UpdateMetrics();
   if (!m_runner.IsLeader())
     return;
   const MonoTime now = MonoClock::now();
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -23,6 +23,7 @@
 #include "limits/planner.h"
 #include "net/feed_server.h"
 #include "net/frame_dispatch.h"
+#include "net/frame_metrics.h"
 #include "net/frame_server.h"
 
 namespace jujube::controld {
@@ -51,6 +52,8 @@
   void OnApplied(std::uint64_t index, const control::CommandResult& result);
   void OnRole(const consensus::RoleChange& change);
   void PublishFeed(const control::CommandResult* result);
+  void LogPendingCaps() const;
+  void UpdateMetrics();
   void OnClaim(const net::FrameSource& source, const ClaimRequest& request);
   void OnFinish(const net::FrameSource& source, const ClaimFinish& finish);
   void OnAllotment(const net::FrameSource& source,
@@ -73,6 +76,8 @@
   std::map<HostId, WaitingRenewal> m_waiting;
   boost::asio::steady_timer m_renewal_timer;
   bool m_is_renewal_due = false;
+  net::FrameMetrics m_frame_metrics;
+  std::uint64_t m_snapshots_started = 0;  // of the feed, already counted
   bool m_is_stopped = false;
 };
 
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -41,9 +41,11 @@
   return (wall << kRandomBits) | (RandomNumber() >> (64U - kRandomBits));
 }
 
-net::FrameOptions MakeFrameOptions(const std::string& key) {
+net::FrameOptions MakeFrameOptions(const std::string& key,
+                                   net::FrameCounters* counters) {
   net::FrameOptions options;
   options.m_key = key;
+  options.m_counters = counters;
   options.m_incarnation = MakeIncarnation();
   options.m_on_event = [](LogEvent event, std::string_view detail) {
     observe::Log(event, {{"detail", detail}});
@@ -87,6 +89,7 @@
 
   const ControlSettings m_settings;
   const ControlKeys m_keys;
+  net::FrameCounters m_frame_counters;  // outlives the connections
   asio::io_context m_io{1};
   std::unique_ptr<ControlService> m_service;
   std::unique_ptr<OperatorApi> m_api;
@@ -106,7 +109,8 @@
   }
   JUJUBE_TRY(Store store, OpenStore(m_settings.m_data_folder));
   m_service = std::make_unique<ControlService>(
-      m_io, m_settings, MakeFrameOptions(m_keys.m_peer), std::move(store));
+      m_io, m_settings, MakeFrameOptions(m_keys.m_peer, &m_frame_counters),
+      std::move(store));
   JUJUBE_TRY(m_service->Start());
   m_api = std::make_unique<OperatorApi>(*m_service, m_settings.m_host,
                                         m_keys.m_operator);
@@ -123,8 +127,10 @@
   const MonoTime deadline =
       MonoClock::now() + 2 * m_settings.m_election_timeout;
   asio::steady_timer timer(m_io);
-  if (m_service->Runner().IsLeader())
+  if (m_service->Runner().IsLeader()) {
+    observe::Log(LogEvent::kLeadershipTransferred, {});
     m_service->Runner().Transfer();
+  }
   while (m_service->Runner().IsLeader() && MonoClock::now() < deadline) {
     timer.expires_after(kTransferPoll);
     co_await timer.async_wait(kTuple);
--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -291,6 +291,11 @@
       co_return;
     }
     answer = std::get<ApplyAnswer>(outcome.m_result->m_answer);
+    if (answer.m_outcome == ApplyOutcome::kBaseChanged) {
+      observe::Log(
+          LogEvent::kDocumentBaseChanged,
+          {{"number", deployment.value().m_number}, {"operator", name}});
+    }
   }
   LogApply(answer, name);
   co_await RespondJson(exchange, StatusOf(answer.m_outcome), ToJson(answer));
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -62,6 +62,10 @@
     observe::Log(LogEvent::kTornTailTruncated,
                  {{"bytes", m_recovered.m_torn_bytes}});
   }
+  observe::Log(LogEvent::kStorageOpened,
+               {{"starts", m_starts},
+                {"entries", m_recovered.m_entries.size()},
+                {"snapshot_bytes", m_recovered.m_snapshot_bytes}});
   if (m_is_founded && m_recovered.m_snapshot_bytes > 0) {
     const auto data = m_disk->ReadWhole(m_recovered.m_snapshot->m_last_index);
     if (!data)
@@ -291,6 +295,8 @@
   } else {
     if (change.m_lost_quorum)
       observe::Log(LogEvent::kQuorumLost, {{"term", change.m_term}});
+    if (change.m_role == consensus::Role::kFollower)
+      observe::Log(LogEvent::kBecameFollower, {{"term", change.m_term}});
     FailWaiting();
   }
   m_callbacks.m_on_role(change);
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -34,9 +34,11 @@
 constexpr milliseconds kRenewTimeout{900};
 
 net::FrameOptions MakeFrameOptions(const EntryShared& shared,
-                                   const std::string& key) {
+                                   const std::string& key,
+                                   net::FrameCounters* counters) {
   net::FrameOptions options;
   options.m_key = key;
+  options.m_counters = counters;
   options.m_incarnation = shared.m_incarnation;
   options.m_on_event = [](LogEvent event, std::string_view detail) {
     observe::Log(event, {{"detail", detail}});
@@ -62,7 +64,7 @@
                            const std::string& peer_key)
     : m_io(io),
       m_shared(shared),
-      m_frames(MakeFrameOptions(shared, peer_key)),
+      m_frames(MakeFrameOptions(shared, peer_key, &m_frame_counters)),
       m_leader(io, m_frames, shared.m_settings.m_control),
       m_claims(io, m_leader),
       m_state(std::make_shared<const FeedState>()),
@@ -236,7 +238,9 @@
 // ---- Ticks -----------------------------------------------------------------
 
 void EntryControl::OnAnnouncement(const Announcement& announcement) {
-  m_registry.Merge({.m_announcement = announcement}, MonoClock::now());
+  m_metrics.OnAnnouncement(
+      announcement,
+      m_registry.Merge({.m_announcement = announcement}, MonoClock::now()));
 }
 
 asio::awaitable<void> EntryControl::TickLoop() {
@@ -261,18 +265,27 @@
     MarkDirty();
   }
   for (const steering::ServiceUpstreams& service : m_upstreams->m_services) {
-    for (const steering::EjectionChange& change :
-         steering::EvaluateOutliers(service, {}, now)) {
-      if (change.m_kind == steering::EjectionChange::Kind::kEjected) {
-        observe::Log(LogEvent::kInstanceEjected,
-                     {{"service", service.m_service.m_name.m_value},
-                      {"instance", change.m_instance.m_value}});
-      }
-    }
+    m_metrics.OnEjections(service.m_service.m_name,
+                          steering::EvaluateOutliers(service, {}, now));
   }
   AdvanceDrain(now);
   if (m_is_dirty)
     Publish();
+  if (m_metrics.IsDue(now))
+    UpdateMetrics(now);
+}
+
+void EntryControl::UpdateMetrics(MonoTime now) {
+  const auto lease_left =
+      std::chrono::duration_cast<milliseconds>(m_holder.LeaseEnd() - now);
+  m_metrics.Update(
+      {.m_now = now,
+       .m_feed_age =
+           m_feed_client ? m_feed_client->OriginAge() : milliseconds(0),
+       .m_lease_left = std::max(milliseconds(0), lease_left),
+       .m_subscribers = m_feed_server->Subscribers(),
+       .m_snapshots_started = m_feed_server->Source().SnapshotsStarted()},
+      *m_upstreams, m_frame_counters);
 }
 
 // ---- Allotments ------------------------------------------------------------
@@ -291,6 +304,7 @@
 asio::awaitable<void> EntryControl::RenewOnce() {
   const MonoTime now = MonoClock::now();
   AllotmentRequest request = m_holder.NextRequest(m_state->m_index, now);
+  m_metrics.OnRenewal(request, *m_holder.Table(), now);
   const std::optional<AllotmentReply> reply =
       co_await m_leader.Call<AllotmentReply>(std::move(request),
                                              now + kRenewTimeout);
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry/claim_client.h"
+#include "entry/control_metrics.h"
 #include "entry/entry_shared.h"
 #include "entry/leader_client.h"
 #include "entry/peer_exchange.h"
@@ -68,6 +69,7 @@
   boost::asio::awaitable<void> TickLoop();
   void Tick(MonoTime now);
   void AdvanceDrain(MonoTime now);
+  void UpdateMetrics(MonoTime now);
   boost::asio::awaitable<void> RenewLoop();
   boost::asio::awaitable<void> RenewOnce();
   std::vector<Drain> DrainsInForce() const;
@@ -75,6 +77,7 @@
 
   boost::asio::io_context& m_io;
   EntryShared& m_shared;
+  net::FrameCounters m_frame_counters;  // outlives the connections
   const net::FrameOptions m_frames;
   LeaderClient m_leader;
   ClaimClient m_claims;
@@ -96,6 +99,7 @@
 
   std::optional<request::HostDrain> m_drain;
   std::function<void()> m_on_drained;
+  ControlMetrics m_metrics;
   bool m_is_dirty = true;
   bool m_is_stopped = false;
 };
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -66,8 +66,6 @@
       return {220, LogLevel::kInfo, "BecameLeader", "became leader"};
     case LogEvent::kBecameFollower:
       return {221, LogLevel::kInfo, "BecameFollower", "became follower"};
-    case LogEvent::kElectionStarted:
-      return {222, LogLevel::kInfo, "ElectionStarted", "election started"};
     case LogEvent::kQuorumLost:
       return {223, LogLevel::kWarning, "QuorumLost",
               "leader lost its quorum and stepped down"};
@@ -132,23 +130,9 @@
     case LogEvent::kInstanceEjected:
       return {410, LogLevel::kWarning, "InstanceEjected",
               "upstream instance ejected"};
-    case LogEvent::kInstanceRestored:
-      return {411, LogLevel::kInfo, "InstanceRestored",
-              "ejected upstream instance is tried again"};
     case LogEvent::kEjectionBounded:
       return {412, LogLevel::kWarning, "EjectionBounded",
               "failing instance kept in use"};
-    case LogEvent::kRequestsRefused:
-      return {420, LogLevel::kWarning, "RequestsRefused",
-              "requests refused for lack of capacity"};
-    case LogEvent::kRetryBudgetSpent:
-      return {421, LogLevel::kWarning, "RetryBudgetSpent",
-              "retry budget spent"};
-    case LogEvent::kShiftStep:
-      return {430, LogLevel::kInfo, "ShiftStep",
-              "callers shifted between regions"};
-    case LogEvent::kShiftHeld:
-      return {431, LogLevel::kWarning, "ShiftHeld", "shift held"};
     case LogEvent::kHostDrainStep:
       return {440, LogLevel::kInfo, "HostDrainStep",
               "drain of this entry host advanced"};
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -37,7 +37,6 @@
   kFolderInUse = 209,            // data folder is in use
   kBecameLeader = 220,           // became leader
   kBecameFollower = 221,         // became follower
-  kElectionStarted = 222,        // election started
   kQuorumLost = 223,             // leader lost its quorum and stepped down
   kMembershipChanged = 224,      // membership changed
   kForeignFolder = 225,          // message for another data folder dropped
@@ -62,12 +61,7 @@
   kInstanceLeaving = 402,        // upstream instance is leaving
   kAnnouncementRefused = 403,    // announcement refused
   kInstanceEjected = 410,        // upstream instance ejected
-  kInstanceRestored = 411,       // ejected upstream instance is tried again
   kEjectionBounded = 412,        // failing instance kept in use
-  kRequestsRefused = 420,        // requests refused for lack of capacity
-  kRetryBudgetSpent = 421,       // retry budget spent
-  kShiftStep = 430,              // callers shifted between regions
-  kShiftHeld = 431,              // shift held
   kHostDrainStep = 440,          // drain of this entry host advanced
   kHostDrainCutShort = 441,      // drain ended with requests in progress
   kDocumentUnusable = 500,  // document in force cannot be used for look-ups
--- a/src/gen/metrics.h
+++ b/src/gen/metrics.h
@@ -15,8 +15,10 @@
 enum class MetricKind : std::uint8_t { kCounter, kGauge, kHistogram };
 
 enum class Metric : std::uint16_t {
-  kAnnouncements,       // announcements by outcome of the merge
-  kConfigIndex,         // feed index in force
+  kAnnouncements,  // announcements by outcome of the merge
+  kConfigIndex,    // feed index in force
+  kEjections,      // ejections of instances for failures
+  kFeedAge,  // time since the configuration in force was known to be current
   kFeedSnapshots,       // snapshots started for subscribers
   kFeedSubscribers,     // subscribers of the feed of this process
   kFrameBytesReceived,  // bytes of received frames
@@ -28,15 +30,20 @@
   kFramesSent,        // frames sent to processes of the system
   kHandshakesFailed,  // handshakes that failed or timed out
   kLateReplies,       // replies dropped because their deadline had passed
+  kLeaseLeft,   // rest of the leases of this host; 0: only safe shares are in
+                // use
+  kLinkUsable,  // part of the cap of a link that this host may use
+  kLinkUse,     // rate of this host on a link since the last renewal
   kLogLinesSuppressed,  // log lines left out by the budgets of their events
   kLookups,             // look-ups answered
+  kRegionInProgress,    // requests of this host in progress in a region
+  kRegionUsable,        // part of the cap of a region that this host may use
   kRequestSeconds,      // time from the request head to the end of the answer
   kInProgress,          // requests in progress
   kRefused,             // requests refused before an upstream was tried
   kRequests,            // requests by verdict
   kRetriesDenied,       // retries that were not made
   kRetries,             // attempts after the first one
-  kShiftedPermille,     // callers of a region that are steered to another one
   kSlotsInUse,          // slots that this host uses
   kSlotsUsable,         // slots that this host may use
   kSpansDropped,        // spans lost to a full queue or a failed write
@@ -52,11 +59,15 @@
   std::string_view m_help;
 };
 
-inline constexpr std::array<MetricInfo, 27> kMetrics = {{
+inline constexpr std::array<MetricInfo, 33> kMetrics = {{
     {MetricKind::kCounter, "jujube_announcements_total", "outcome",
      "announcements by outcome of the merge [announcements]"},
     {MetricKind::kGauge, "jujube_config_index", "",
      "feed index in force [index]"},
+    {MetricKind::kCounter, "jujube_ejections_total", "service",
+     "ejections of instances for failures [ejections]"},
+    {MetricKind::kGauge, "jujube_feed_age_milliseconds", "",
+     "time since the configuration in force was known to be current [ms]"},
     {MetricKind::kCounter, "jujube_feed_snapshots_total", "",
      "snapshots started for subscribers [snapshots]"},
     {MetricKind::kGauge, "jujube_feed_subscribers", "",
@@ -78,10 +89,20 @@
      "handshakes that failed or timed out [handshakes]"},
     {MetricKind::kCounter, "jujube_late_replies_total", "",
      "replies dropped because their deadline had passed [replies]"},
+    {MetricKind::kGauge, "jujube_lease_left_milliseconds", "",
+     "rest of the leases of this host; 0: only safe shares are in use [ms]"},
+    {MetricKind::kGauge, "jujube_link_usable_kbit_s", "link",
+     "part of the cap of a link that this host may use [kbit/s]"},
+    {MetricKind::kGauge, "jujube_link_use_kbit_s", "link",
+     "rate of this host on a link since the last renewal [kbit/s]"},
     {MetricKind::kCounter, "jujube_log_lines_suppressed_total", "",
      "log lines left out by the budgets of their events [lines]"},
     {MetricKind::kCounter, "jujube_lookups_total", "",
      "look-ups answered [look-ups]"},
+    {MetricKind::kGauge, "jujube_region_in_progress", "region",
+     "requests of this host in progress in a region [requests]"},
+    {MetricKind::kGauge, "jujube_region_usable", "region",
+     "part of the cap of a region that this host may use [requests]"},
     {MetricKind::kHistogram, "jujube_request_seconds", "service",
      "time from the request head to the end of the answer [s]"},
     {MetricKind::kGauge, "jujube_requests_in_progress", "",
@@ -94,8 +115,6 @@
      "retries that were not made [attempts]"},
     {MetricKind::kCounter, "jujube_retries_total", "service",
      "attempts after the first one [attempts]"},
-    {MetricKind::kGauge, "jujube_shifted_permille", "source",
-     "callers of a region that are steered to another one [permille]"},
     {MetricKind::kGauge, "jujube_slots_in_use", "service",
      "slots that this host uses [slots]"},
     {MetricKind::kGauge, "jujube_slots_usable", "service",
--- a/src/steering/outlier_ejector.h
+++ b/src/steering/outlier_ejector.h
@@ -2,7 +2,7 @@
 //
 //   // Control thread, every 100 ms or so:
 //   for (const EjectionChange& change : EvaluateOutliers(service, limits, now))
-//     ...log kInstanceEjected, kInstanceRestored or kEjectionBounded
+//     ...log kInstanceEjected or kEjectionBounded
 //
 // The state is in InstanceCounters, so workers see an ejection at once and a
 // rebuilt view does not forget it. kBounded is returned on each call while it
