--- a/src/entry/span_scope.h
+++ b/src/entry/span_scope.h
@@ -50,7 +50,11 @@
       Put(name, std::string(value));
   }
   void Set(std::string_view name, std::integral auto value) {
-    if (m_span != nullptr)
+    if (m_span == nullptr)
+      return;
+    if constexpr (std::same_as<decltype(value), bool>)
+      Put(name, value);
+    else
       Put(name, static_cast<std::int64_t>(value));
   }
   void Fail();
--- a/tests/unit/entry_trace_test.cc
+++ b/tests/unit/entry_trace_test.cc
@@ -78,6 +78,7 @@
   EXPECT_EQ(attempt.at("parentSpanId"), request.at("spanId"));
   EXPECT_EQ(connect.at("parentSpanId"), attempt.at("spanId"));
   EXPECT_EQ(connect.at("status").at("code"), 2);
+  EXPECT_EQ(connect.at("attributes").at(0).at("value").at("boolValue"), true);
   for (const auto& span : spans)
     EXPECT_EQ(span.at("traceId"), "0af7651916cd43dd8448eb211c80319c");
   const auto passed = observe::ParseTraceparent(outgoing);
