--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -44,9 +44,11 @@
   return (wall << kRandomBits) | (RandomNumber() >> (64U - kRandomBits));
 }
 
-net::FrameOptions MakeFrameOptions(const std::string& key) {
+net::FrameOptions MakeFrameOptions(const std::string& key,
+                                   net::FrameCounters* counters) {
   net::FrameOptions options;
   options.m_key = key;
+  options.m_counters = counters;
   options.m_incarnation = MakeIncarnation();
   options.m_on_event = [](LogEvent event, std::string_view detail) {
     observe::Log(event, {{"detail", detail}});
@@ -92,6 +94,7 @@
 
   const ControlSettings m_settings;
   const ControlKeys m_keys;
+  net::FrameCounters m_frame_counters;  // outlives the connections
   asio::io_context m_io{1};
   std::unique_ptr<ControlService> m_service;
   std::unique_ptr<OperatorApi> m_api;
@@ -111,7 +114,8 @@
   }
   JUJUBE_TRY(Store store, OpenStore(m_settings.m_data_folder));
   m_service = std::make_unique<ControlService>(
-      m_io, m_settings, MakeFrameOptions(m_keys.m_peer), std::move(store));
+      m_io, m_settings, MakeFrameOptions(m_keys.m_peer, &m_frame_counters),
+      std::move(store));
   JUJUBE_TRY(m_service->Start());
   m_api = std::make_unique<OperatorApi>(*m_service, m_settings.m_host,
                                         m_keys.m_operator);
@@ -143,6 +147,7 @@
     co_return;
   const MonoTime deadline =
       MonoClock::now() + 2 * m_settings.m_election_timeout;
+  observe::Log(LogEvent::kLeadershipTransferred, {});
   runner.Transfer();
   while ((runner.IsLeader() || !runner.Leader()) && MonoClock::now() < deadline)
     co_await Pause();
