Start an entry daemon without a document, and test requests with real processes

Cause: the control thread's first tick reads the view of upstreams, which was null until the first document was in force. An entry daemon whose settings name no deployment_file ended with SIGSEGV at its start.

Ruled out: a check for null at each use, since an empty view means the same.

Change: the view starts empty. The process tests start control daemons, entry daemons and stub upstreams and check the whole path, claims, verdicts, whole responses, leaving upstreams, planned stops, frozen hosts and bad input.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -69,6 +69,8 @@
       m_lookup(std::make_shared<const lookup::Table>()),
       m_registry(membership::RegistryLimits{}),
       m_holder(shared.m_settings.m_host, shared.m_incarnation),
+      // The first tick reads it before a document arrives from the feed.
+      m_upstreams(std::make_shared<const steering::UpstreamView>()),
       m_peers(io, m_frames, shared.m_settings.m_host, m_registry, [this] {
         RebuildLookup();
         Publish();
--- /dev/null
+++ b/tests/process/raw_socket.cc
@@ -0,0 +1,102 @@
+#include "process/raw_socket.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace jujube::testing {
+
+namespace {
+
+sockaddr_in ToAddress(const Endpoint& endpoint) {
+  sockaddr_in address{.sin_family = AF_INET,
+                      .sin_port = htons(endpoint.m_port)};
+  ::inet_pton(AF_INET, endpoint.m_address.c_str(), &address.sin_addr);
+  return address;
+}
+
+int Open(const Endpoint& endpoint, int flags) {
+  const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
+  const sockaddr_in address = ToAddress(endpoint);
+  ::connect(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  return file;
+}
+
+}  // namespace
+
+RawSocket RawSocket::Connect(const Endpoint& endpoint) {
+  return RawSocket(Open(endpoint, 0));
+}
+
+RawSocket RawSocket::StartConnect(const Endpoint& endpoint) {
+  return RawSocket(Open(endpoint, SOCK_NONBLOCK));
+}
+
+RawSocket RawSocket::Listen(const Endpoint& endpoint, int backlog) {
+  const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = ToAddress(endpoint);
+  ::bind(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  ::listen(file, backlog);
+  return RawSocket(file);
+}
+
+RawSocket::~RawSocket() {
+  Close();
+}
+
+RawSocket::RawSocket(RawSocket&& other) noexcept
+    : m_file(std::exchange(other.m_file, -1)) {}
+
+RawSocket& RawSocket::operator=(RawSocket&& other) noexcept {
+  Close();
+  m_file = std::exchange(other.m_file, -1);
+  return *this;
+}
+
+RawSocket RawSocket::Accept() const {
+  return RawSocket(::accept4(m_file, nullptr, nullptr, SOCK_CLOEXEC));
+}
+
+void RawSocket::Send(const std::string& bytes) const {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const ssize_t count =
+        ::send(m_file, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (count <= 0)
+      return;  // the peer closed, which the tests read from the other side
+    sent += static_cast<std::size_t>(count);
+  }
+}
+
+bool RawSocket::ReadUntil(const std::string& text) const {
+  std::string received;
+  std::array<char, 4096> part{};
+  while (received.find(text) == std::string::npos) {
+    const ssize_t count = ::recv(m_file, part.data(), part.size(), 0);
+    if (count <= 0)
+      return false;
+    received.append(part.data(), static_cast<std::size_t>(count));
+  }
+  return true;
+}
+
+std::string RawSocket::ReadToEnd() const {
+  std::string received;
+  std::array<char, 4096> part{};
+  while (true) {
+    const ssize_t count = ::recv(m_file, part.data(), part.size(), 0);
+    if (count <= 0)
+      return received;
+    received.append(part.data(), static_cast<std::size_t>(count));
+  }
+}
+
+void RawSocket::Close() {
+  if (m_file >= 0)
+    ::close(std::exchange(m_file, -1));
+}
+
+}  // namespace jujube::testing
--- /dev/null
+++ b/tests/process/request_fixture.h
@@ -0,0 +1,142 @@
+// RequestSystem: control daemons, entry daemons and stub upstreams in a
+// temporary folder, on free ports of a loopback address of this process.
+//
+//   RequestSystem system({.m_entries = 2});
+//   system.StartUpstream("u1");
+//   system.WaitUntilServing();
+//   const Answer answer = system.Send(0, {.m_target = "/s/log/x"});
+//
+// Waits have no bound; the runner's time limit ends a test that hangs.
+
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gen/deployment.h"
+#include "gen/lookup.h"
+#include "gen/membership.h"
+#include "gen/settings.h"
+#include "gen/status.h"
+#include "net/http_call.h"
+#include "process/request_child.h"
+
+namespace jujube::testing {
+
+struct SystemOptions {
+  std::size_t m_controls = 1;
+  std::size_t m_entries = 2;
+  std::uint32_t m_region_cap = 60;  // requests in progress
+};
+
+// What a caller received; status 0 if there was no whole response.
+struct Answer {
+  std::uint16_t m_status = 0;
+  std::string m_verdict;
+  bool m_is_replayed = false;
+  std::string m_body;
+};
+
+struct UpstreamOptions {
+  std::uint16_t m_slots = 12;
+  bool m_announces = true;  // false: a test announces the instance
+};
+
+class RequestSystem {
+ public:
+  explicit RequestSystem(const SystemOptions& options = {});
+  ~RequestSystem();
+  RequestSystem(const RequestSystem&) = delete;
+  RequestSystem& operator=(const RequestSystem&) = delete;
+
+  // ---- Processes
+  ChildProcess& Entry(std::size_t index) { return m_entries[index]; }
+  ChildProcess& Control(std::size_t index) { return m_controls[index]; }
+  ChildProcess& Upstream(const std::string& name) { return m_upstreams[name]; }
+  std::size_t EntryCount() const { return m_entries.size(); }
+  std::size_t ControlCount() const { return m_controls.size(); }
+  void StartUpstream(const std::string& name,
+                     const UpstreamOptions& options = {});
+  ChildProcess StartCaller(const std::vector<std::string>& flags,
+                           const std::string& output);
+  std::size_t LeaderIndex();  // waits for a leader
+
+  // ---- Addresses
+  const EntrySettings& EntryOf(std::size_t index) const {
+    return m_entry_settings[index];
+  }
+  const ControlSettings& ControlOf(std::size_t index) const {
+    return m_control_settings[index];
+  }
+  const Endpoint& UpstreamAt(const std::string& name) const {
+    return m_upstream_settings.at(name).m_listen;
+  }
+  std::string Path(const std::string& name) const {
+    return m_folder + "/" + name;
+  }
+  Endpoint FreeEndpoint();
+
+  // ---- Requests
+  Answer Send(std::size_t entry, const net::HttpRequest& request) const;
+  // POST to the service "log"; its POST requests are non-repeatable.
+  Answer Post(std::size_t entry,
+              const std::string& path,
+              const std::string& key,
+              const std::string& body = "litres=40",
+              std::vector<Header> more = {}) const;
+  // Sends until the claim of an earlier attempt is no longer in progress.
+  Answer PostUntilSettled(std::size_t entry,
+                          const std::string& path,
+                          const std::string& key) const;
+  std::string NewKey(std::chrono::milliseconds age = {});
+  Answer ToOperator(const Endpoint& endpoint, net::HttpRequest request) const;
+  Answer Announce(std::size_t entry,
+                  const Announcement& announcement,
+                  const std::string& key) const;
+  Announcement AnnouncementOf(const std::string& instance,
+                              const Endpoint& endpoint) const;
+  std::optional<EntryStatus> StatusOf(std::size_t entry) const;
+  LookupAnswer Lookup(std::size_t entry) const;
+
+  // ---- Conditions
+  // Every entry host may use that many slots of the service "log".
+  void WaitUntilServing(std::uint32_t slots = 1) const;
+  // Runs of requests whose target contains the text.
+  std::size_t Runs(const std::string& target) const;
+  std::vector<std::string> RunLines(const std::string& target) const;
+
+  static void WaitUntil(const std::function<bool()>& condition) {
+    while (!condition())
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+ private:
+  std::string Write(const std::string& name, const std::string& text) const;
+  void PlanHosts(const SystemOptions& options);
+  void PlanDeployment(const SystemOptions& options);
+  void StartControls();
+  void StartEntries();
+  void ApplyDeployment();
+
+  std::string m_folder;
+  std::string m_address;
+  std::uint64_t m_next_key = 10'000'000;
+  Deployment m_deployment;
+  std::vector<ControlSettings> m_control_settings;
+  std::vector<EntrySettings> m_entry_settings;
+  std::map<std::string, UpstreamSettings> m_upstream_settings;
+  std::vector<ChildProcess> m_controls;
+  std::vector<ChildProcess> m_entries;
+  std::map<std::string, ChildProcess> m_upstreams;
+};
+
+inline constexpr char kPeerKey[] = "peer key of the request tests";
+inline constexpr char kPlatformKey[] = "platform key of the request tests";
+inline constexpr char kOperatorKey[] = "operator key of the request tests";
+
+}  // namespace jujube::testing
--- /dev/null
+++ b/tests/process/request_stop_test.cc
@@ -0,0 +1,362 @@
+// How requests fare when upstreams and entry hosts leave, die, freeze or get
+// bad input, with real processes.
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/json.hpp>
+
+#include "core/json_document.h"
+#include "gen/deployment_json.h"
+#include "gen/load_json.h"
+#include "process/raw_socket.h"
+#include "process/request_announcer.h"
+#include "process/request_fixture.h"
+
+// Sections: upstreams that leave, planned stops, frozen hosts, bad input.
+
+namespace jujube::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sends GET requests to all entry hosts until it is stopped.
+class Load {
+ public:
+  Load(const RequestSystem& system, int senders) {
+    for (int i = 0; i < senders; ++i) {
+      m_senders.push_back(std::async(std::launch::async, [this, &system, i] {
+        for (std::size_t n = 0; !m_is_stopped; ++n) {
+          const std::size_t entry =
+              (static_cast<std::size_t>(i) + n) % system.EntryCount();
+          const Answer answer =
+              system.Send(entry, {.m_target = "/s/log/load?delay_ms=20"});
+          ++(answer.m_status == 200 ? m_ok : m_failed);
+        }
+      }));
+    }
+  }
+  ~Load() { Stop(); }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  void WaitForMore(int requests) const {
+    const int wanted = m_ok + m_failed + requests;
+    RequestSystem::WaitUntil([&] { return m_ok + m_failed >= wanted; });
+  }
+  void Stop() {
+    m_is_stopped = true;
+    for (std::future<void>& sender : m_senders)
+      sender.wait();
+  }
+  int Failed() const { return m_failed; }
+
+ private:
+  std::atomic<bool> m_is_stopped = false;
+  std::atomic<int> m_ok = 0;
+  std::atomic<int> m_failed = 0;
+  std::vector<std::future<void>> m_senders;
+};
+
+bool IsUsed(const RequestSystem& system,
+            const std::string& instance,
+            int requests) {
+  const auto count = [&] {
+    const std::vector<std::string> lines = system.RunLines("/probe");
+    return std::count_if(
+        lines.begin(), lines.end(),
+        [&](const std::string& line) { return line.ends_with(instance); });
+  };
+  const auto before = count();
+  // At the same time, since an idle service has a preferred instance.
+  std::vector<std::future<Answer>> probes;
+  for (int i = 0; i < requests; ++i) {
+    const std::size_t entry = static_cast<std::size_t>(i) % system.EntryCount();
+    probes.push_back(std::async(std::launch::async, [&system, entry] {
+      return system.Send(entry, {.m_target = "/s/log/probe?delay_ms=100"});
+    }));
+  }
+  for (std::future<Answer>& probe : probes)
+    probe.wait();
+  return count() != before;
+}
+
+// ---- Upstreams that leave --------------------------------------------------
+
+// Guards against requests that are cut or refused when an upstream stops as
+// planned, and against new ones at an upstream that said that it leaves.
+TEST(RequestLeaving, PlannedStopOfUpstreamCutsNothing) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.StartUpstream("u2");
+  system.WaitUntilServing(8);
+  Load load(system, 3);
+  load.WaitForMore(50);
+  system.Upstream("u1").Signal(SIGTERM);
+  EXPECT_EQ(system.Upstream("u1").Wait(), 0);
+  load.WaitForMore(50);
+  load.Stop();
+  EXPECT_EQ(load.Failed(), 0);
+}
+
+// Guards against an older announcement that revives an instance that leaves,
+// also on the entry host that only its peer told about it.
+TEST(RequestLeaving, OlderAnnouncementDoesNotRevive) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.StartUpstream("u2", {.m_announces = false});
+  Announcement announcement =
+      system.AnnouncementOf("u2", system.UpstreamAt("u2"));
+  {
+    const RequestAnnouncer announcer(system, 0, announcement);
+    system.WaitUntilServing(8);
+    RequestSystem::WaitUntil([&] { return IsUsed(system, "u2", 30); });
+  }
+  announcement.m_sequence += 1'000'000;
+  announcement.m_state = UpstreamState::kLeaving;
+  EXPECT_EQ(system.Announce(0, announcement, kPlatformKey).m_status, 204);
+  RequestSystem::WaitUntil([&] { return !IsUsed(system, "u2", 40); });
+  announcement.m_state = UpstreamState::kServing;
+  for (const std::uint64_t step : {0U, 1U, 2U}) {
+    // Neither an older sequence number nor a newer one of this incarnation.
+    announcement.m_sequence += step;
+    system.Announce(0, announcement, kPlatformKey);
+    system.Announce(1, announcement, kPlatformKey);
+  }
+  EXPECT_FALSE(IsUsed(system, "u2", 60));
+}
+
+// Guards against requests at an instance that no longer announces itself: its
+// lease ends on every entry host, although the instance would still answer.
+TEST(RequestLeaving, LeaseEndsWithoutAnnouncements) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.StartUpstream("u2", {.m_announces = false});
+  {
+    const RequestAnnouncer announcer(
+        system, 0, system.AnnouncementOf("u2", system.UpstreamAt("u2")));
+    system.WaitUntilServing(8);
+    RequestSystem::WaitUntil([&] { return IsUsed(system, "u2", 30); });
+  }
+  RequestSystem::WaitUntil([&] { return !IsUsed(system, "u2", 40); });
+  EXPECT_FALSE(IsUsed(system, "u2", 60));
+}
+
+// Guards against failures that a caller of repeatable requests sees when an
+// upstream dies.
+TEST(RequestLeaving, KilledUpstreamIsHiddenByRetries) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.StartUpstream("u2");
+  system.WaitUntilServing(8);
+  Load load(system, 3);
+  load.WaitForMore(50);
+  system.Upstream("u1").Kill();
+  load.WaitForMore(100);
+  load.Stop();
+  EXPECT_EQ(load.Failed(), 0);
+}
+
+// Guards against a drain of an instance that is not in force on every host.
+TEST(RequestLeaving, OperatorDrainsInstance) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.StartUpstream("u2");
+  system.WaitUntilServing(8);
+  RequestSystem::WaitUntil([&] { return IsUsed(system, "u2", 30); });
+  const Drain drain{.m_kind = DrainKind::kInstance, .m_name = "log/u2"};
+  const net::HttpRequest request{
+      .m_method = "POST",
+      .m_target = "/v1/drain",
+      .m_body = boost::json::serialize(ToJson(drain))};
+  const Endpoint& control = system.ControlOf(0).m_peers[0].m_operator;
+  EXPECT_EQ(system.ToOperator(control, request).m_status, 200);
+  RequestSystem::WaitUntil([&] { return !IsUsed(system, "u2", 40); });
+  EXPECT_FALSE(IsUsed(system, "u2", 60));
+  net::HttpRequest resume = request;
+  resume.m_target = "/v1/resume";
+  EXPECT_EQ(system.ToOperator(control, resume).m_status, 200);
+  RequestSystem::WaitUntil([&] { return IsUsed(system, "u2", 30); });
+}
+
+// ---- Planned stops ---------------------------------------------------------
+
+// Guards against requests that fail when an entry host stops as planned, and
+// against a host that stops before callers have stopped using it.
+TEST(RequestPlannedStop, NoRequestFails) {
+  RequestSystem system({.m_entries = 3});
+  system.StartUpstream("u1", {.m_slots = 30});
+  system.WaitUntilServing(4);
+  ChildProcess caller = system.StartCaller(
+      {"--requests=1500", "--rate=250", "--concurrency=6"}, "report.json");
+  RequestSystem::WaitUntil([&] { return system.Runs("/load") > 100; });
+  const LookupAnswer before = system.Lookup(0);
+  const HostId leaving = before.m_hosts[0].m_host;
+  std::size_t index = 0;
+  while (system.EntryOf(index).m_host != leaving)
+    ++index;
+  const MonoTime started = MonoClock::now();
+  system.Entry(index).Signal(SIGTERM);
+  for (std::size_t i = 0; i < system.EntryCount(); ++i) {
+    RequestSystem::WaitUntil([&] {
+      const std::vector<LookupHost> hosts = system.Lookup(i).m_hosts;
+      return std::none_of(
+          hosts.begin(), hosts.end(),
+          [&](const LookupHost& line) { return line.m_host == leaving; });
+    });
+  }
+  // Callers with an older list still use it.
+  EXPECT_TRUE(system.Entry(index).IsRunning());
+  EXPECT_EQ(system.Send(index, {.m_target = "/s/log/late"}).m_status, 200);
+  EXPECT_EQ(system.Entry(index).Wait(), 0);
+  const auto taken =
+      std::chrono::duration_cast<milliseconds>(MonoClock::now() - started);
+  EXPECT_GE(taken, before.m_lifetime);
+  std::cout << "drain took " << taken.count() << " ms, look-up lifetime "
+            << before.m_lifetime.count() << " ms\n";
+  EXPECT_EQ(caller.Wait(), 0);
+  const auto text = ReadFile(system.Path("report.json"), 1U << 20U);
+  const auto report = ParseDocument<LoadReport>(text.value(), "report");
+  ASSERT_TRUE(report.has_value()) << text.value();
+  EXPECT_EQ(report.value().m_ok, report.value().m_sent) << text.value();
+}
+
+// Guards against a planned stop that cuts a request, or that waits for longer
+// than the longest request.
+TEST(RequestPlannedStop, WaitsForLongestRequest) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.WaitUntilServing(4);
+  auto slow = std::async(std::launch::async, [&] {
+    return system.Send(0, {.m_target = "/s/log/slow?delay_ms=5000"});
+  });
+  RequestSystem::WaitUntil([&] { return system.Runs("/slow") == 1; });
+  system.Entry(0).Signal(SIGTERM);
+  EXPECT_EQ(slow.get().m_status, 200);
+  const MonoTime answered = MonoClock::now();
+  EXPECT_EQ(system.Entry(0).Wait(), 0);
+  const auto more = MonoClock::now() - answered;
+  std::cout << "exit " << std::chrono::duration_cast<milliseconds>(more).count()
+            << " ms after the last response\n";
+}
+
+// ---- Frozen hosts ----------------------------------------------------------
+
+// Guards against a host that was frozen, resumes and spends slots that were
+// granted to another one meanwhile.
+TEST(RequestFrozen, ResumedHostSpendsNoExpiredLease) {
+  RequestSystem system;
+  constexpr std::size_t kSlots = 12;
+  // Takes more than it announces, so that it sheds nothing itself.
+  system.StartUpstream("u1", {.m_slots = 100, .m_announces = false});
+  Announcement announcement =
+      system.AnnouncementOf("u1", system.UpstreamAt("u1"));
+  announcement.m_slots = kSlots;
+  const RequestAnnouncer announcer(system, 0, announcement);
+  system.WaitUntilServing(3);
+  system.Entry(1).Signal(SIGSTOP);
+  // The other host gets all slots but the safe one of the frozen host.
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_services[0].m_usable_slots >= kSlots - 1;
+  });
+  std::vector<std::future<Answer>> held;
+  const std::uint32_t usable = system.StatusOf(0)->m_services[0].m_usable_slots;
+  for (std::uint32_t i = 0; i < usable; ++i) {
+    held.push_back(std::async(std::launch::async, [&] {
+      return system.Send(0, {.m_target = "/s/log/held?delay_ms=6000"});
+    }));
+  }
+  RequestSystem::WaitUntil([&] { return system.Runs("/held") == usable; });
+  // Written to the frozen host, so that it reads them first when it resumes.
+  std::vector<std::future<Answer>> late;
+  std::atomic<std::size_t> answered = 0;
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    late.push_back(std::async(std::launch::async, [&] {
+      const Answer answer =
+          system.Send(1, {.m_target = "/s/log/resumed?delay_ms=6000"});
+      ++answered;
+      return answer;
+    }));
+  }
+  system.Entry(1).Signal(SIGCONT);
+  RequestSystem::WaitUntil(
+      [&] { return answered + system.Runs("/resumed") >= kSlots; });
+  EXPECT_LE(system.Runs("/resumed") + usable, kSlots);
+  for (std::future<Answer>& answer : held)
+    EXPECT_EQ(answer.get().m_status, 200);
+  for (std::future<Answer>& answer : late)
+    answer.wait();
+}
+
+// ---- Bad input -------------------------------------------------------------
+
+std::vector<std::string> BadInputs() {
+  std::string bytes;
+  for (int i = 0; i < 4096; ++i)
+    bytes.push_back(static_cast<char>((i * 7919) >> 3));
+  return {
+      bytes, "\r\n\r\n\r\n",
+      "GET /s/log/x HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+      "GET /s/log/x HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+      "POST /s/log/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "GET /s/log/x HTTP/1.1\r\nJujube-Deadline-Ms: 99x\r\n\r\n",
+      "GET /lookup?service=%zz&caller=300.1.1.1 HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nX: " + std::string(1U << 20U, 'a') + "\r\n\r\n",
+      "POST /announce HTTP/1.1\r\nAuthorization: Bearer wrong\r\n\r\n",
+      std::string("POST /announce HTTP/1.1\r\nAuthorization: Bearer ") +
+          kPlatformKey + "\r\nContent-Length: 6\r\n\r\n{\"a\":[",
+      std::string("POST /v1/apply HTTP/1.1\r\nAuthorization: Bearer ") +
+          kOperatorKey + "\r\nContent-Length: 9\r\n\r\n[[[[[[[[[",
+      // A frame header that states a payload of 4 GiB.
+      std::string("\x4a\x4a\x01\x00\xff\xff\xff\xff", 8) +
+          std::string(64, '\xff')};
+}
+
+// Guards against input on any port that ends a process or stops its service,
+// and against endpoints that accept a wrong key.
+TEST(RequestBadInput, EndsNoProcess) {
+  RequestSystem system;
+  system.StartUpstream("u1");
+  system.WaitUntilServing();
+  const ControlPeer control = system.ControlOf(0).m_peers[0];
+  const EntrySettings& entry = system.EntryOf(0);
+  for (const Endpoint& port :
+       {entry.m_caller, entry.m_platform, entry.m_operator, entry.m_peer,
+        control.m_operator, control.m_peer, system.UpstreamAt("u1")}) {
+    for (const std::string& input : BadInputs()) {
+      const RawSocket socket = RawSocket::Connect(port);
+      socket.Send(input);
+    }
+  }
+  const Announcement announcement =
+      system.AnnouncementOf("u9", system.UpstreamAt("u1"));
+  EXPECT_EQ(system.Announce(0, announcement, "a wrong key").m_status, 401);
+  EXPECT_EQ(system.Announce(0, announcement, kOperatorKey).m_status, 401);
+  for (const Endpoint& port : {entry.m_operator, control.m_operator}) {
+    for (const std::string target : {"/status", "/v1/status", "/metrics"}) {
+      const auto response = net::HttpCallBlocking(
+          port,
+          {.m_target = target,
+           .m_headers = {{"Authorization", "Bearer a wrong key"}}},
+          MonoClock::now() + std::chrono::minutes(1));
+      ASSERT_TRUE(response.has_value());
+      EXPECT_EQ(response.value().m_head.m_status, 401);
+    }
+  }
+  EXPECT_TRUE(system.Entry(0).IsRunning());
+  EXPECT_TRUE(system.Control(0).IsRunning());
+  EXPECT_TRUE(system.Upstream("u1").IsRunning());
+  EXPECT_EQ(system.Send(0, {.m_target = "/s/log/x"}).m_status, 200);
+  EXPECT_EQ(system.Post(0, "/fuel", system.NewKey()).m_status, 200);
+  EXPECT_EQ(system.StatusOf(0)->m_services[0].m_instances, 1U);
+}
+
+}  // namespace
+}  // namespace jujube::testing
