Do not claim not-run for a service that an entry host does not know

Cause: a request with an Idempotency-Key for an unknown service got 404 with not-run. An entry host with a newer or older document may have run it, so a caller that resends after a lost response was told something untrue.

Ruled out: not-run for all of them; this host cannot tell whether the method is non-repeatable without the document.

Change: with a key and without Jujube-Earlier-Attempts the verdict is may-have-run. docs/requests.md describes how a request is carried.

Result: NoSlotsAndNoService failed before this change and passes with it; all 24 process tests pass.

--- a/src/entry/forwarder.cc
+++ b/src/entry/forwarder.cc
@@ -197,8 +197,11 @@
   const steering::ServiceUpstreams* service =
       steering::FindService(*view.m_upstreams, request.m_route.m_service);
   if (service == nullptr) {
+    // A host with a newer or older document may have run it.
+    request.m_is_repeatable = request.m_route.m_key.empty();
     return Refusal{
         .m_status = 404,
+        .m_verdict = request.UnclaimedVerdict(),
         .m_reason = "there is no service " + request.m_route.m_service.m_value};
   }
   request.m_service = service->m_service;
