Let the test of a caller that goes away fail without its mechanism

Cause: without the close of the upstream connection the test still passed, since the default deadline of 10 s closes the connection as well.

Ruled out: a bound on the time until the close; tests have none.

Change: the request has a deadline of 10 min. The linter's findings in the process tests are gone.

--- a/tests/process/raw_socket.cc
+++ b/tests/process/raw_socket.cc
@@ -21,7 +21,8 @@
 int Open(const Endpoint& endpoint, int flags) {
   const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
   const sockaddr_in address = ToAddress(endpoint);
-  ::connect(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  (void)::connect(file, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address));
   return file;
 }
 
@@ -38,8 +39,9 @@
 RawSocket RawSocket::Listen(const Endpoint& endpoint, int backlog) {
   const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = ToAddress(endpoint);
-  ::bind(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  ::listen(file, backlog);
+  (void)::bind(file, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address));
+  (void)::listen(file, backlog);
   return RawSocket(file);
 }
 
--- a/tests/process/request_child.cc
+++ b/tests/process/request_child.cc
@@ -20,6 +20,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string>& command,
                            const std::string& log) {
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& argument : command)
     arguments.push_back(const_cast<char*>(argument.c_str()));
   arguments.push_back(nullptr);
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -104,7 +104,7 @@
   sockaddr_in address{.sin_family = AF_INET};
   ::inet_pton(AF_INET, m_address.c_str(), &address.sin_addr);
   socklen_t size = sizeof(address);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+  (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
   return {.m_address = m_address, .m_port = ntohs(address.sin_port)};
--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -279,7 +279,7 @@
   std::atomic<std::size_t> answered = 0;
   for (std::size_t i = 0; i < kSlots; ++i) {
     late.push_back(std::async(std::launch::async, [&] {
-      const Answer answer =
+      Answer answer =
           system.Send(1, {.m_target = "/s/log/resumed?delay_ms=6000"});
       ++answered;
       return answer;
--- a/tests/process/request_test.cc
+++ b/tests/process/request_test.cc
@@ -359,6 +359,7 @@
   constexpr int kSenders = 8;
   constexpr int kRequests = 40;
   std::vector<std::future<int>> wrong;
+  wrong.reserve(kSenders);
   for (int sender = 0; sender < kSenders; ++sender) {
     wrong.push_back(std::async(std::launch::async, [&, sender] {
       int count = 0;
@@ -394,7 +395,10 @@
   RequestAnnouncer announcer(system, 0, system.AnnouncementOf("u0", endpoint));
   system.WaitUntilServing();
   RawSocket caller = RawSocket::Connect(system.EntryOf(0).m_caller);
-  caller.Send("GET /s/log/gone HTTP/1.1\r\nHost: x\r\n\r\n");
+  // With a long deadline, since the end of it closes the connection as well.
+  caller.Send(
+      "GET /s/log/gone HTTP/1.1\r\nHost: x\r\n"
+      "Jujube-Deadline-Ms: 600000\r\n\r\n");
   const RawSocket upstream = listener.Accept();
   ASSERT_TRUE(upstream.ReadUntil("\r\n\r\n"));
   caller.Close();
