Satisfy the linter in jujubectl and its tests

Cause: clang-format and clang-tidy reported names, moves and one line break. Change: names and one const in tests, format of report.cc. Result: clang-format is clean; clang-tidy was not repeated over the final state.

--- a/src/ctl/report.cc
+++ b/src/ctl/report.cc
@@ -73,8 +73,7 @@
 
 std::string FailureMessage(const Command& command, const CallResult& result) {
   const Judgement& judgement = result.m_judgement;
-  std::string what =
-      EndpointText(result.m_host) + ": " + judgement.m_message;
+  std::string what = EndpointText(result.m_host) + ": " + judgement.m_message;
   if (judgement.m_result == ExitCode::kUnknown) {
     return "the outcome is unknown: " + what + "; " + HowToResolve(command);
   }
--- a/tests/unit/ctl_call_test.cc
+++ b/tests/unit/ctl_call_test.cc
@@ -11,9 +11,9 @@
 
 using std::chrono::milliseconds;
 
-const Endpoint kFirst{"127.0.0.1", 1};
-const Endpoint kSecond{"127.0.0.1", 2};
-const Endpoint kThird{"127.0.0.1", 3};
+const Endpoint first_host{"127.0.0.1", 1};
+const Endpoint second_host{"127.0.0.1", 2};
+const Endpoint third_host{"127.0.0.1", 3};
 constexpr milliseconds kTimeout{4000};
 
 CallOutcome Answer(std::uint16_t status, std::string body) {
@@ -57,7 +57,7 @@
     m_bodies.push_back(request.m_body);
     m_deadlines.push_back(deadline);
     m_now += milliseconds(1);
-    const CallOutcome outcome = m_script.front();
+    CallOutcome outcome = m_script.front();
     if (m_script.size() > 1)
       m_script.pop_front();
     return outcome;
@@ -75,7 +75,7 @@
 };
 
 CallResult CallAll(FakeTransport& transport, Resend resend) {
-  const HostCursor cursor{.m_hosts = {kFirst, kSecond, kThird}};
+  const HostCursor cursor{.m_hosts = {first_host, second_host, third_host}};
   return CallLeader(transport, cursor, {.m_method = "POST", .m_body = "file"},
                     resend, kTimeout);
 }
@@ -84,7 +84,7 @@
   FakeTransport transport({NotLeader("3"), Accepted()});
   EXPECT_EQ(CallAll(transport, Resend::kSafe).m_judgement.m_result,
             ExitCode::kDone);
-  EXPECT_EQ(transport.m_asked, (std::vector{kFirst, kThird}));
+  EXPECT_EQ(transport.m_asked, (std::vector{first_host, third_host}));
 }
 
 // A follower names the old leader until it notices that it is gone.
@@ -92,7 +92,8 @@
   FakeTransport transport({NotLeader("3"), Refused(), Accepted()});
   EXPECT_EQ(CallAll(transport, Resend::kUnsafe).m_judgement.m_result,
             ExitCode::kDone);
-  EXPECT_EQ(transport.m_asked, (std::vector{kFirst, kThird, kSecond}));
+  EXPECT_EQ(transport.m_asked,
+            (std::vector{first_host, third_host, second_host}));
 }
 
 TEST(CtlCall, TriesEveryHostAndReportsThatNoneAnswered) {
@@ -100,8 +101,8 @@
   const CallResult result = CallAll(transport, Resend::kUnsafe);
   EXPECT_EQ(result.m_judgement.m_result, ExitCode::kUnreachable);
   ASSERT_GE(transport.m_asked.size(), 3U);
-  EXPECT_EQ(transport.m_asked[1], kSecond);
-  EXPECT_EQ(transport.m_asked[2], kThird);
+  EXPECT_EQ(transport.m_asked[1], second_host);
+  EXPECT_EQ(transport.m_asked[2], third_host);
   // The attempts pause, so that waiting for an election costs no core.
   EXPECT_LE(transport.m_asked.size(), 4 + kTimeout / kRetryPause);
   EXPECT_LE(transport.Now() - MonoTime(), kTimeout);
--- a/tests/unit/ctl_report_test.cc
+++ b/tests/unit/ctl_report_test.cc
@@ -16,7 +16,7 @@
 namespace jujube::ctl {
 namespace {
 
-const Endpoint kHost{"127.0.0.1", 8093};
+const Endpoint any_host{"127.0.0.1", 8093};
 
 template <class T>
 CallResult Answered(std::uint16_t status, const T& answer) {
@@ -25,14 +25,14 @@
                             .m_body = boost::json::serialize(ToJson(answer))};
   return {.m_judgement = Judge(outcome, Resend::kSafe),
           .m_outcome = outcome,
-          .m_host = kHost};
+          .m_host = any_host};
 }
 
 ControlHostReport HostState(const std::string& name,
                             const std::string& role,
                             std::uint64_t term,
                             std::vector<HostVersion> in_force = {}) {
-  return {.m_endpoint = kHost,
+  return {.m_endpoint = any_host,
           .m_status =
               ControlDaemonStatus{.m_host = {name},
                                   .m_role = role,
@@ -140,7 +140,7 @@
   const CtlReport report =
       ReportOfHosts(CtlCommand::kStatus,
                     {HostState("c1", "follower", 4),
-                     {.m_endpoint = kHost, .m_error = "connect: refused"}});
+                     {.m_endpoint = any_host, .m_error = "connect: refused"}});
   EXPECT_EQ(report.m_result, ExitCode::kUnreachable);
   const std::string text = RenderText(report);
   EXPECT_NE(text.find("leader: none\ndocument in force: 3 "), std::string::npos)
