--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -34,6 +34,7 @@
   std::vector<std::string> words = arguments;
   words.insert(words.begin(), path);
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words)
     argv.push_back(word.data());
   argv.push_back(nullptr);
