Join the last parts: linter findings, a finished claim, lost hosts

A rejected finish of a claim was repeated every 20 ms for 30 s, since it could not be told from an answer of a host that does not lead; the leader recorded a lost entry host again each second; clang-tidy had five findings.

Change: ClaimFinishReply says whether the sender leads; a loss is recorded once; findings fixed; the exit code of the daemons moved to a source, where the catalogue test finds its event; the test of a replaced disk reads the folder from the new place in the status. The lint script also checks the examples and the fault matrix.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -1,5 +1,6 @@
 #include "controld/control_service.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -34,6 +35,20 @@
   }
 }
 
+// Those whose loss is not recorded yet.
+std::vector<LostHost> NewlyLost(std::vector<LostHost> lost,
+                                const control::HostRegistry& registry) {
+  const std::vector<EntryHostStatus> hosts = registry.All();
+  std::erase_if(lost, [&](const LostHost& host) {
+    return std::none_of(hosts.begin(), hosts.end(),
+                        [&](const EntryHostStatus& known) {
+                          return known.m_host == host.m_host && known.m_alive &&
+                                 known.m_incarnation == host.m_incarnation;
+                        });
+  });
+  return lost;
+}
+
 UnixMillis WallNow() {
   return SystemClock().WallNow();
 }
@@ -200,15 +215,17 @@
 
 void ControlService::OnFinish(const net::FrameSource& source,
                               const ClaimFinish& finish) {
-  m_runner.Propose(
-      control::MakeCommand(finish, WallNow()),
-      [this, source](const ProposalOutcome& outcome) {
-        if (outcome.m_fate == ProposalFate::kApplied) {
-          source.Reply(std::get<ClaimFinishReply>(outcome.m_result->m_answer));
-        } else if (outcome.m_fate == ProposalFate::kNotLeader) {
-          source.Reply(ClaimFinishReply{.m_leader = LeaderHint()});
-        }
-      });
+  m_runner.Propose(control::MakeCommand(finish, WallNow()),
+                   [this, source](const ProposalOutcome& outcome) {
+                     if (outcome.m_fate == ProposalFate::kApplied) {
+                       ClaimFinishReply reply = std::get<ClaimFinishReply>(
+                           outcome.m_result->m_answer);
+                       reply.m_leading = true;
+                       source.Reply(reply);
+                     } else if (outcome.m_fate == ProposalFate::kNotLeader) {
+                       source.Reply(ClaimFinishReply{.m_leader = LeaderHint()});
+                     }
+                   });
 }
 
 // ---- Allotments ------------------------------------------------------------
@@ -259,7 +276,7 @@
   for (const auto& [host, waiting] : m_waiting)
     hosts.push_back(host);
   RenewCommand command{.m_expired_index = m_lease_clock.ExpiredThrough(now),
-                       .m_lost = m_watch.Lost(now),
+                       .m_lost = NewlyLost(m_watch.Lost(now), state.Hosts()),
                        .m_renewals = m_planner.Plan(hosts, state.Topology(),
                                                     state.Ledger(), now)};
   if (command.m_renewals.empty() && command.m_lost.empty())
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -147,7 +147,6 @@
     co_return;
   const MonoTime deadline =
       MonoClock::now() + 2 * m_settings.m_election_timeout;
-  observe::Log(LogEvent::kLeadershipTransferred, {});
   runner.Transfer();
   while ((runner.IsLeader() || !runner.Leader()) && MonoClock::now() < deadline)
     co_await Pause();
--- a/src/controld/disk_thread.cc
+++ b/src/controld/disk_thread.cc
@@ -132,7 +132,7 @@
   });
 }
 
-void DiskThread::Read(consensus::SnapshotRead read) {
+void DiskThread::Read(const consensus::SnapshotRead& read) {
   Post([this, read] {
     consensus::SnapshotPart part{.m_to = read.m_to,
                                  .m_last_index = read.m_last_index,
--- a/src/controld/disk_thread.h
+++ b/src/controld/disk_thread.h
@@ -37,7 +37,7 @@
 
   void Persist(consensus::Persist persist);
   void Write(consensus::SnapshotWrite write);
-  void Read(consensus::SnapshotRead read);
+  void Read(const consensus::SnapshotRead& read);
   void WriteOwnSnapshot(std::shared_ptr<control::SnapshotWriter> writer,
                         SnapshotInfo info);
   // Blocks the calling thread; false if the disk is full.
--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -152,9 +152,9 @@
 asio::awaitable<ProposalOutcome> OperatorApi::Propose(std::string command) {
   return asio::async_initiate<const asio::use_awaitable_t<>,
                               void(ProposalOutcome)>(
-      [this](auto handler, std::string data) {
+      [this](auto handler, const std::string& data) {
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        m_service.Runner().Propose(std::move(data),
+        m_service.Runner().Propose(data,
                                    [shared](const ProposalOutcome& outcome) {
                                      std::move (*shared)(outcome);
                                    });
--- a/src/daemons/entryd.cc
+++ b/src/daemons/entryd.cc
@@ -36,5 +36,5 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("--settings FILE [--check]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return jujube::daemons::ExitCodeOf(RunDaemon());
+  return jujube::observe::ExitCodeOf(RunDaemon());
 }
--- a/src/daemons/upstream.cc
+++ b/src/daemons/upstream.cc
@@ -31,5 +31,5 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("--settings FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return jujube::daemons::ExitCodeOf(RunUpstream());
+  return jujube::observe::ExitCodeOf(RunUpstream());
 }
--- a/src/entry/connection_pool.h
+++ b/src/entry/connection_pool.h
@@ -43,6 +43,7 @@
     std::uint64_t m_incarnation = 0;  // of the instance; another one may have
                                       // taken over the address
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default
     friend auto operator<=>(const Key&, const Key&) = default;
   };
   struct Idle {
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -71,7 +71,7 @@
 };
 
 struct Daemon::State {
-  State(EntrySettings settings, EntryKeys keys)
+  State(EntrySettings settings, const EntryKeys& keys)
       : m_shared(std::move(settings),
                  static_cast<std::uint64_t>(SystemClock().WallNow().count()),
                  EmptyView()),
@@ -151,8 +151,8 @@
   m_is_stopped.notify_all();
 }
 
-Daemon::Daemon(EntrySettings settings, EntryKeys keys)
-    : m_state(std::make_unique<State>(std::move(settings), std::move(keys))) {}
+Daemon::Daemon(EntrySettings settings, const EntryKeys& keys)
+    : m_state(std::make_unique<State>(std::move(settings), keys)) {}
 
 Daemon::~Daemon() = default;
 
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -23,7 +23,7 @@
 
 class Daemon {
  public:
-  Daemon(EntrySettings settings, EntryKeys keys);
+  Daemon(EntrySettings settings, const EntryKeys& keys);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- a/src/entry/leader_client.h
+++ b/src/entry/leader_client.h
@@ -31,7 +31,7 @@
   return reply.m_outcome == ClaimOutcome::kNotLeader;
 }
 inline bool SaysNotLeader(const ClaimFinishReply& reply) {
-  return !reply.m_accepted;
+  return !reply.m_leading;
 }
 inline bool SaysNotLeader(const AllotmentReply& reply) {
   return reply.m_sequence == 0;
--- a/src/gen/claims.h
+++ b/src/gen/claims.h
@@ -92,6 +92,7 @@
 
 // Answer to ClaimFinish.
 struct ClaimFinishReply {
+  bool m_leading = false;   // this host leads, so the answer is final
   bool m_accepted = false;  // the outcome is recorded
   std::optional<Endpoint>
       m_leader;  // peer listener of the leader, if this host does not lead
--- a/src/gen/claims_serialize.h
+++ b/src/gen/claims_serialize.h
@@ -44,7 +44,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, ClaimFinishReply& value) {
-  archive(value.m_accepted, value.m_leader);
+  archive(value.m_leading, value.m_accepted, value.m_leader);
 }
 
 }  // namespace jujube
--- a/tests/process/control_test.cc
+++ b/tests/process/control_test.cc
@@ -243,17 +243,19 @@
 TEST_F(ControlProcesses, GarbageEndsNoProcess) {
   m_cluster.StartAll();
   ApplyNumbers(1, 1);
+  const std::string authorization =
+      "Authorization: Bearer operator key of the process tests\r\n";
   const std::vector<std::string> garbage = {
       std::string(1, '\0'),
       std::string(100000, '\xff'),
       std::string(100000, 'A') + "\r\n\r\n",
       "GET /v1/status HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-      "POST /v1/apply HTTP/1.1\r\nAuthorization: Bearer operator key of the "
-      "process tests\r\nContent-Length: 99999999999999\r\n\r\n{",
-      "POST /v1/apply HTTP/1.1\r\nAuthorization: Bearer operator key of the "
-      "process tests\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n",
-      "POST /v1/members HTTP/1.1\r\nAuthorization: Bearer operator key of the "
-      "process tests\r\nContent-Length: 5\r\n\r\n[[[[["};
+      "POST /v1/apply HTTP/1.1\r\n" + authorization +
+          "Content-Length: 99999999999999\r\n\r\n{",
+      "POST /v1/apply HTTP/1.1\r\n" + authorization +
+          "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n",
+      "POST /v1/members HTTP/1.1\r\n" + authorization +
+          "Content-Length: 5\r\n\r\n[[[[["};
   for (int host = 0; host < 3; ++host) {
     for (const std::string& bytes : garbage) {
       EXPECT_TRUE(SendBytes(m_cluster.Peer(host), bytes));
--- a/tests/process/ctl_test.cc
+++ b/tests/process/ctl_test.cc
@@ -138,14 +138,14 @@
   const std::size_t lost = (leader + 1) % kHosts;
   const boost::json::object before = WaitForStatus(
       [&](const auto& report) { return HostState(report, lost) != nullptr; });
-  const std::string old_folder =
-      boost::json::serialize(HostState(before, lost)->at("folder"));
+  const std::string old_folder = boost::json::serialize(
+      HostState(before, lost)->at("replica").at("folder"));
   StopControl(lost, SIGKILL);
   StartControl(lost, "data-new", true);
   const boost::json::object after = WaitForStatus(
       [&](const auto& report) { return HostState(report, lost) != nullptr; });
-  const std::string new_folder =
-      boost::json::serialize(HostState(after, lost)->at("folder"));
+  const std::string new_folder = boost::json::serialize(
+      HostState(after, lost)->at("replica").at("folder"));
   ASSERT_NE(new_folder, old_folder);
   const std::string host = HostName(lost);
   ProgramResult step = Ctl({"members", "add", host, new_folder});
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,7 +7,9 @@
 git ls-files '*.h' '*.cc' | xargs clang-format --dry-run -Werror
 echo "format: clean"
 python3 tools/generate.py --check
-echo "generated code: current"
+python3 tools/make_examples.py --check
+python3 tools/fault_matrix.py --check
+echo "generated code, examples and fault matrix: current"
 git ls-files 'src/*.cc' 'tests/*.cc' 'bench/*.cc' | grep -v '^src/gen/' |
   xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
 echo "clang-tidy: clean"
