--- a/src/daemons/caller.cc
+++ b/src/daemons/caller.cc
@@ -1,4 +1,4 @@
-// jujube-caller: a stand-in caller that sends load and measures latency.
+// jujube-caller: a stub caller that sends load and measures latency.
 
 #include <iostream>
 #include <sstream>
@@ -8,7 +8,7 @@
 
 #include "gen/load_json.h"
 #include "net/http_call.h"
-#include "standin/load.h"
+#include "stub/load.h"
 
 DEFINE_string(entries, "", "entry hosts to ask, IP:PORT separated by commas");
 DEFINE_string(direct, "", "upstream to send to without the system, IP:PORT");
@@ -80,7 +80,7 @@
     std::cerr << options.error().m_message << std::endl;
     return kExitBadFlags;
   }
-  const jujube::LoadReport report = jujube::standin::RunLoad(options.value());
+  const jujube::LoadReport report = jujube::stub::RunLoad(options.value());
   if (FLAGS_json)
     std::cout << boost::json::serialize(jujube::ToJson(report)) << std::endl;
   else
--- a/src/daemons/upstream.cc
+++ b/src/daemons/upstream.cc
@@ -6,7 +6,7 @@
 
 #include "daemons/program.h"
 #include "gen/settings_json.h"
-#include "standin/upstream.h"
+#include "stub/upstream.h"
 
 DEFINE_string(settings, "", "settings file (JSON)");
 
@@ -18,7 +18,7 @@
       jujube::daemons::ReadSettings<jujube::UpstreamSettings>(FLAGS_settings));
   JUJUBE_TRY(const std::string key,
              jujube::ReadKeyFile(settings.m_platform_key_file));
-  jujube::standin::Upstream upstream(settings, key);
+  jujube::stub::Upstream upstream(settings, key);
   JUJUBE_TRY(const jujube::Endpoint endpoint, upstream.Listen());
   std::cout << "listening on " << endpoint.m_address << ":" << endpoint.m_port
             << std::endl;
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -121,7 +121,7 @@
                           const ControlSettings&) = default;
 };
 
-// Settings of jujube-upstream, the stand-in upstream.
+// Settings of jujube-upstream, the stub upstream.
 struct UpstreamSettings {
   ServiceId m_service;                     // service that it offers
   InstanceId m_instance;                   // name of the instance
--- a/src/standin/load.cc
+++ b/src/stub/load.cc
@@ -1,4 +1,4 @@
-#include "standin/load.h"
+#include "stub/load.h"
 
 #include <algorithm>
 #include <map>
@@ -25,7 +25,7 @@
 #include "net/http_connection.h"
 #include "net/http_fields.h"
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 namespace asio = boost::asio;
 using std::chrono::microseconds;
@@ -281,4 +281,4 @@
   return LoadRun(options).Run();
 }
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/src/standin/load.h
+++ b/src/stub/load.h
@@ -1,4 +1,4 @@
-// A stand-in caller: sends requests through the system and measures them.
+// A stub caller: sends requests through the system and measures them.
 //
 //   LoadReport report = RunLoad(options);
 //
@@ -11,10 +11,10 @@
 
 #include "gen/load.h"
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 // Blocks until all requests have ended. The latency of a request counts from
 // the time at which it was due, so that a stall of the system is not hidden.
 LoadReport RunLoad(const LoadOptions& options);
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/src/standin/run_log.cc
+++ b/src/stub/run_log.cc
@@ -1,9 +1,9 @@
-#include "standin/run_log.h"
+#include "stub/run_log.h"
 
 #include <fcntl.h>
 #include <unistd.h>
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 RunLog::RunLog(const std::string& path) {
   if (!path.empty())
@@ -24,4 +24,4 @@
       ::write(m_file, text.data(), text.size());
 }
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/src/standin/run_log.h
+++ b/src/stub/run_log.h
@@ -1,11 +1,11 @@
-// RunLog: a line for each request that ran at a stand-in upstream. Tests count
+// RunLog: a line for each request that ran at a stub upstream. Tests count
 // the lines to check that a request ran at most once.
 
 #pragma once
 
 #include <string>
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 class RunLog {
  public:
@@ -23,4 +23,4 @@
   int m_file = -1;
 };
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/src/standin/upstream.cc
+++ b/src/stub/upstream.cc
@@ -1,4 +1,4 @@
-#include "standin/upstream.h"
+#include "stub/upstream.h"
 
 #include <algorithm>
 #include <charconv>
@@ -22,9 +22,9 @@
 #include "net/http_call.h"
 #include "net/http_fields.h"
 #include "net/http_listener.h"
-#include "standin/run_log.h"
+#include "stub/run_log.h"
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
@@ -105,7 +105,7 @@
 };
 
 asio::awaitable<void> Upstream::State::Handle(net::HttpExchange& exchange) {
-  if (exchange.Head().m_target == "/standin/stats") {
+  if (exchange.Head().m_target == "/stub/stats") {
     co_await RespondStats(exchange);
     co_return;
   }
@@ -270,4 +270,4 @@
   state.m_io.run();
 }
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/src/standin/upstream.h
+++ b/src/stub/upstream.h
@@ -1,4 +1,4 @@
-// A stand-in upstream: announces itself, takes requests up to its slots, and
+// A stub upstream: announces itself, takes requests up to its slots, and
 // sheds the rest with 503 and "Jujube-Started: no".
 //
 // The response is an EchoedRequest, which states what the upstream received, so
@@ -18,7 +18,7 @@
 #include "core/result.h"
 #include "gen/settings.h"
 
-namespace jujube::standin {
+namespace jujube::stub {
 
 class Upstream {
  public:
@@ -40,4 +40,4 @@
   std::unique_ptr<State> m_state;
 };
 
-}  // namespace jujube::standin
+}  // namespace jujube::stub
--- a/tests/process/ctl_fixture.h
+++ b/tests/process/ctl_fixture.h
@@ -22,6 +22,8 @@
 #include <boost/json.hpp>
 
 extern char** environ;
+#include "gen/types_json.h"
+#include "process/process_harness.h"
 
 namespace jujube::testing {
 
@@ -74,28 +76,6 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-// Ports that the kernel chose. The sockets are open at the same time, so no
-// port is given twice; another process could take one before it is used.
-inline std::vector<int> FreePorts(std::size_t count) {
-  std::vector<int> sockets;
-  std::vector<int> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    EXPECT_EQ(::bind(descriptor, generic, size), 0);
-    EXPECT_EQ(::getsockname(descriptor, generic, &size), 0);
-    sockets.push_back(descriptor);
-    ports.push_back(ntohs(address.sin_port));
-  }
-  for (const int descriptor : sockets)
-    ::close(descriptor);
-  return ports;
-}
-
 // Three control daemons in a temporary folder, stopped at the end.
 class CtlFixture : public ::testing::Test {
  protected:
@@ -108,7 +88,8 @@
     m_folder = folder;
     WriteText(Path("peer.key"), "peer-key-of-the-ctl-test\n");
     WriteText(Path("operator.key"), "operator-key-of-the-ctl-test\n");
-    m_ports = FreePorts(2 * kHosts);
+    for (std::size_t i = 0; i < 2 * kHosts; ++i)
+      m_endpoints.push_back(process::ReserveEndpoint());
     m_daemons.assign(kHosts, -1);
     for (std::size_t i = 0; i < kHosts; ++i)
       StartControl(i, "data-" + std::to_string(i), false);
@@ -131,17 +112,15 @@
     return "control-" + std::to_string(host + 1);
   }
   std::string Listener(std::size_t host) const {
-    return "127.0.0.1:" + std::to_string(m_ports[2 * host + 1]);
+    return process::ToText(m_endpoints[2 * host + 1]);
   }
 
   void StartControl(std::size_t host, const std::string& data, bool join) {
     boost::json::array peers;
     for (std::size_t i = 0; i < kHosts; ++i) {
-      peers.push_back(
-          {{"host", HostName(i)},
-           {"peer", {{"address", "127.0.0.1"}, {"port", m_ports[2 * i]}}},
-           {"operator",
-            {{"address", "127.0.0.1"}, {"port", m_ports[2 * i + 1]}}}});
+      peers.push_back({{"host", HostName(i)},
+                       {"peer", ToJson(m_endpoints[2 * i])},
+                       {"operator", ToJson(m_endpoints[2 * i + 1])}});
     }
     const boost::json::object settings{
         {"host", HostName(host)},
@@ -264,7 +243,7 @@
   static constexpr unsigned kPollMicroseconds = 50000;
 
   std::string m_folder;
-  std::vector<int> m_ports;  // peer and operator listener of each host
+  std::vector<Endpoint> m_endpoints;  // peer and operator listener of each host
   std::vector<pid_t> m_daemons;
   int m_runs = 0;
 };
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -1,5 +1,7 @@
 #include "process/request_fixture.h"
 
+#include "process/process_harness.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -36,14 +38,6 @@
 constexpr milliseconds kLookupLifetime{1000};
 constexpr char kZone[] = "zone-a";
 
-// An address of its own keeps the ports of tests apart that run at once.
-std::string OwnAddress() {
-  constexpr int kRange = 250;
-  const int id = static_cast<int>(::getpid());
-  return "127.77." + std::to_string(1 + (id / kRange) % kRange) + "." +
-         std::to_string(1 + id % kRange);
-}
-
 Answer ToAnswer(const Result<net::HttpResponse>& response) {
   if (!response)
     return {};
@@ -75,8 +69,7 @@
 
 // ---- Planning --------------------------------------------------------------
 
-RequestSystem::RequestSystem(const SystemOptions& options)
-    : m_address(OwnAddress()) {
+RequestSystem::RequestSystem(const SystemOptions& options) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "jujube-XXXXXX").string();
   m_folder = ::mkdtemp(pattern.data());
@@ -99,17 +92,6 @@
     std::filesystem::remove_all(m_folder);
 }
 
-Endpoint RequestSystem::FreeEndpoint() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET};
-  ::inet_pton(AF_INET, m_address.c_str(), &address.sin_addr);
-  socklen_t size = sizeof(address);
-  (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return {.m_address = m_address, .m_port = ntohs(address.sin_port)};
-}
-
 std::string RequestSystem::Write(const std::string& name,
                                  const std::string& text) const {
   std::ofstream(Path(name)) << text;
@@ -121,8 +103,8 @@
   std::vector<Endpoint> voters;
   for (std::size_t i = 0; i < options.m_controls; ++i) {
     peers.push_back({.m_host = {"control-" + std::to_string(i)},
-                     .m_peer = FreeEndpoint(),
-                     .m_operator = FreeEndpoint()});
+                     .m_peer = process::ReserveEndpoint(),
+                     .m_operator = process::ReserveEndpoint()});
     voters.push_back(peers.back().m_peer);
   }
   for (const ControlPeer& peer : peers) {
@@ -139,10 +121,10 @@
   for (std::size_t i = 0; i < options.m_entries; ++i) {
     m_entry_settings.push_back({.m_host = {"entry-" + std::to_string(i)},
                                 .m_availability_zone = {kZone},
-                                .m_caller = FreeEndpoint(),
-                                .m_platform = FreeEndpoint(),
-                                .m_peer = FreeEndpoint(),
-                                .m_operator = FreeEndpoint(),
+                                .m_caller = process::ReserveEndpoint(),
+                                .m_platform = process::ReserveEndpoint(),
+                                .m_peer = process::ReserveEndpoint(),
+                                .m_operator = process::ReserveEndpoint(),
                                 .m_control = voters,
                                 .m_peer_key_file = Path("peer.key"),
                                 .m_platform_key_file = Path("platform.key"),
@@ -235,7 +217,7 @@
   UpstreamSettings settings{.m_service = {"log"},
                             .m_instance = {name},
                             .m_availability_zone = {kZone},
-                            .m_listen = FreeEndpoint(),
+                            .m_listen = process::ReserveEndpoint(),
                             .m_platform_key_file = Path("platform.key"),
                             .m_slots = options.m_slots,
                             .m_run_log = Path("runs.log")};
--- a/tests/process/request_fixture.h
+++ b/tests/process/request_fixture.h
@@ -79,7 +79,6 @@
   std::string Path(const std::string& name) const {
     return m_folder + "/" + name;
   }
-  Endpoint FreeEndpoint();
 
   // ---- Requests
   Answer Send(std::size_t entry, const net::HttpRequest& request) const;
@@ -124,7 +123,6 @@
   void ApplyDeployment();
 
   std::string m_folder;
-  std::string m_address;
   std::uint64_t m_next_key = 10'000'000;
   Deployment m_deployment;
   std::vector<ControlSettings> m_control_settings;
--- a/tests/process/request_test.cc
+++ b/tests/process/request_test.cc
@@ -14,6 +14,7 @@
 #include "core/hash.h"
 #include "core/json_document.h"
 #include "gen/load_json.h"
+#include "process/process_harness.h"
 #include "process/raw_socket.h"
 #include "process/request_announcer.h"
 #include "process/request_fixture.h"
@@ -143,7 +144,7 @@
 // its claim may have been dispatched, as far as the others can know.
 TEST(RequestClaims, EntryKilledBeforeDispatch) {
   RequestSystem system;
-  const Endpoint stuck = system.FreeEndpoint();
+  const Endpoint stuck = process::ReserveEndpoint();
   const StuckListener listener(stuck);
   RequestAnnouncer announcer(system, 1, system.AnnouncementOf("stuck", stuck));
   system.WaitUntilServing();
@@ -261,7 +262,7 @@
 // "not run" for one that was.
 TEST(RequestRefusals, ConnectRefused) {
   RequestSystem system;
-  const Endpoint closed = system.FreeEndpoint();
+  const Endpoint closed = process::ReserveEndpoint();
   RequestAnnouncer announcer(system, 0, system.AnnouncementOf("u0", closed));
   system.WaitUntilServing();
   const std::string key = system.NewKey();
@@ -390,7 +391,7 @@
 // Guards against work for a caller that is gone.
 TEST(RequestResponses, CallerGoesAway) {
   RequestSystem system;
-  const Endpoint endpoint = system.FreeEndpoint();
+  const Endpoint endpoint = process::ReserveEndpoint();
   const RawSocket listener = RawSocket::Listen(endpoint, 16);
   RequestAnnouncer announcer(system, 0, system.AnnouncementOf("u0", endpoint));
   system.WaitUntilServing();
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -42,7 +42,7 @@
         super().start_upstream(name)
 
     def upstream_stats(self, name):
-        status, stats = self.call(self.upstreams[name]["listen"], "/standin/stats")
+        status, stats = self.call(self.upstreams[name]["listen"], "/stub/stats")
         return stats if status == 200 else None
 
     def region_of(self, zone):
