Report a lease that is still in force as more than zero

Cause: RequestControl.AllControlHostsStopped counted 28 usable slots in place of 4 in one run. /status rounded the rest of the lease down, so it read 0 during the last millisecond, while the leased slots were still in force.

Ruled out: slots spent after the lease; usable slots and the rest of the lease come from the same reading of the clock.

Change: the rest of the lease is rounded up.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -374,9 +374,10 @@
       .m_feed_connected = m_feed_client && m_feed_client->IsConnected(),
       .m_feed_age =
           m_feed_client ? m_feed_client->OriginAge() : milliseconds(0),
-      .m_lease_left = std::max(
-          milliseconds(0),
-          std::chrono::duration_cast<milliseconds>(m_holder.LeaseEnd() - now)),
+      .m_lease_left =
+          std::max(milliseconds(0),
+                   // Rounded up: 0 means that the leased shares have expired.
+                   std::chrono::ceil<milliseconds>(m_holder.LeaseEnd() - now)),
       .m_in_progress = m_shared.m_in_progress.load(),
       .m_phase = m_drain ? std::string(request::ToString(m_drain->m_phase))
                          : "serving",
