Build jujubectl in the demo

Cause: README.md names build/jujubectl after tools/demo.sh, which did not build it in a fresh clone. Change: one more target.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 [ "$(id -u)" -ne 0 ] || tools/setup.sh
 cmake -S . -B build -G Ninja >/dev/null
-ninja -C build jujube-controld jujube-entryd jujube-upstream jujube-caller | tail -n 1
+ninja -C build jujube-controld jujube-entryd jujubectl jujube-upstream jujube-caller | tail -n 1
 exec python3 tools/demo.py "$@"
