--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -30,6 +30,7 @@
     CheckSites();
     CheckEntryHosts();
     CheckServices();
+    CheckRoutes();
     CheckBlocks();
     return std::move(m_problems);
   }
@@ -137,7 +138,8 @@
 
   void CheckEntryHosts() {
     // A service can be reached through entry hosts only.
-    CheckNotEmpty("entry_hosts", m_deployment.m_entry_hosts.empty());
+    if (!m_deployment.m_discovers_entry_hosts)
+      CheckNotEmpty("entry_hosts", m_deployment.m_entry_hosts.empty());
     const JsonPath list(m_root, "entry_hosts");
     for (std::size_t i = 0; i < m_deployment.m_entry_hosts.size(); ++i) {
       const EntryHost& host = m_deployment.m_entry_hosts[i];
@@ -179,6 +181,49 @@
     }
   }
 
+  void CheckRoutes() {
+    const JsonPath list(m_root, "routes");
+    Names names;
+    std::set<std::pair<std::string, std::string>> places;
+    for (std::size_t i = 0; i < m_deployment.m_routes.size(); ++i) {
+      const RouteRule& route = m_deployment.m_routes[i];
+      const JsonPath path(list, i);
+      AddName(path, route.m_name, names);
+      const std::string& prefix = route.m_path_prefix;
+      if (!prefix.starts_with('/') || !prefix.ends_with('/')) {
+        Report(JsonPath(path, "path_prefix"), Quoted(prefix),
+               "a path that begins and ends with a slash");
+      }
+      if (!places.insert({route.m_host, prefix}).second) {
+        Report(JsonPath(path, "path_prefix"),
+               Quoted(route.m_host + prefix) + " for the second time",
+               "one route for each host name and prefix");
+      }
+      CheckRouteServices(path, route);
+      const JsonPath regions(path, "allowed_regions");
+      for (std::size_t j = 0; j < route.m_allowed_regions.size(); ++j) {
+        const std::string& region = route.m_allowed_regions[j].m_value;
+        if (!m_regions.contains(region)) {
+          Report(JsonPath(regions, j), Quoted(region),
+                 "the name of a region in this document");
+        }
+      }
+    }
+  }
+
+  void CheckRouteServices(const JsonPath& path, const RouteRule& route) {
+    const JsonPath list(path, "services");
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i < route.m_services.size(); ++i) {
+      const WeightedService& part = route.m_services[i];
+      sum += part.m_weight;
+      CheckReference(JsonPath(list, i), "service", part.m_service.m_value,
+                     m_services, "a service");
+    }
+    if (sum == 0)
+      Report(list, "weights that add up to 0", "a sum above 0");
+  }
+
   void CheckBlocks() {
     const JsonPath list(m_root, "blocks");
     Names prefixes;
--- a/src/config/difference.cc
+++ b/src/config/difference.cc
@@ -179,18 +179,11 @@
   return static_cast<std::uint32_t>(largest);
 }
 
-Deployment WithoutBlocks(const Deployment& deployment) {
-  return {.m_number = deployment.m_number,
-          .m_name = deployment.m_name,
-          .m_weights = deployment.m_weights,
-          .m_shift = deployment.m_shift,
-          .m_claims = deployment.m_claims,
-          .m_regions = deployment.m_regions,
-          .m_availability_zones = deployment.m_availability_zones,
-          .m_links = deployment.m_links,
-          .m_sites = deployment.m_sites,
-          .m_entry_hosts = deployment.m_entry_hosts,
-          .m_services = deployment.m_services};
+// Clears a copy instead of copying fields, so that a field that is added to the
+// document is never left out.
+Deployment WithoutBlocks(Deployment deployment) {
+  std::vector<CallerBlock>().swap(deployment.m_blocks);
+  return deployment;
 }
 
 std::vector<std::string> DescribeChanges(const Deployment& from,
--- a/src/config/difference.h
+++ b/src/config/difference.h
@@ -37,7 +37,7 @@
 std::uint32_t MovedPermille(const Deployment& from, const Deployment& to);
 
 // A copy of the document without its blocks.
-Deployment WithoutBlocks(const Deployment& deployment);
+Deployment WithoutBlocks(Deployment deployment);
 
 // Readable list, one line for each object that was added, removed or changed,
 // such as `region "luzon" changed: max_in_progress 400 -> 500`. At most
--- a/src/config/digest.cc
+++ b/src/config/digest.cc
@@ -22,6 +22,7 @@
   for (Service& service : deployment.m_services)
     std::ranges::sort(service.m_non_repeatable_methods);
   std::ranges::sort(deployment.m_services);
+  std::ranges::sort(deployment.m_routes);
   std::ranges::sort(deployment.m_blocks);
   return deployment;
 }
--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -96,12 +96,20 @@
          "them in several documents, or drain the region";
 }
 
+ApplyAnswer Configuration::OtherBase() const {
+  return {.m_outcome = ApplyOutcome::kConflict,
+          .m_accepted = m_history.empty() ? HistoryEntry{} : m_history.back()};
+}
+
 ApplyAnswer Configuration::Apply(const ApplyCommand& command,
                                  std::uint64_t index,
                                  std::uint64_t time) {
   const auto known = Recall(command.m_deployment.m_number, command.m_digest);
   if (known)
     return *known;
+  if (command.m_base_number &&
+      *command.m_base_number != m_document->m_number)
+    return OtherBase();
   if (command.m_base_index != m_document_index)
     return {.m_outcome = ApplyOutcome::kBaseChanged};
   Deployment document = command.m_deployment;
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -29,6 +29,9 @@
   std::optional<ApplyAnswer> Recall(std::uint64_t number,
                                     const std::string& digest) const;
 
+  // The answer to a document that builds on another one than that in force.
+  ApplyAnswer OtherBase() const;
+
   // What speaks against a document because it moves callers between regions:
   // with the documents of the minute before `time`, at most the part that
   // Shift::m_max_permille_per_minute of the document in force allows. A drain
--- a/src/control/proposal.cc
+++ b/src/control/proposal.cc
@@ -27,7 +27,8 @@
 
 ApplyProposal PrepareApply(const StateMachine& state,
                            const Deployment& deployment,
-                           const std::string& operator_name) {
+                           const std::string& operator_name,
+                           std::optional<std::uint64_t> base_number) {
   const Problems problems = config::Check(deployment);
   if (!problems.empty())
     return {.m_answer = InvalidAnswer(problems)};
@@ -37,6 +38,8 @@
   const auto known = current.Recall(canonical.m_number, digest);
   if (known)
     return {.m_answer = known};
+  if (base_number && *base_number != current.Document().m_number)
+    return {.m_answer = current.OtherBase()};
   const auto problem = current.ShiftProblem(canonical, state.Time());
   if (problem) {
     return {.m_answer = ApplyAnswer{.m_outcome = ApplyOutcome::kInvalid,
@@ -47,6 +50,7 @@
   return {.m_command = {
               .m_operator_name = operator_name.substr(0, kMaxOperatorBytes),
               .m_base_index = current.DocumentIndex(),
+              .m_base_number = base_number,
               .m_digest = std::move(digest),
               .m_deployment = config::WithoutBlocks(canonical),
               .m_upserted = std::move(changes.m_upserted),
--- a/src/control/proposal.h
+++ b/src/control/proposal.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -25,9 +26,12 @@
 };
 
 // Checks the document (Invalid with the problems), recalls an accepted one with
-// the same number, and builds the command against the document in force.
-ApplyProposal PrepareApply(const StateMachine& state,
-                           const Deployment& deployment,
-                           const std::string& operator_name);
+// the same number, and builds the command against the document in force. With a
+// base number, any other document in force is a conflict.
+ApplyProposal PrepareApply(
+    const StateMachine& state,
+    const Deployment& deployment,
+    const std::string& operator_name,
+    std::optional<std::uint64_t> base_number = std::nullopt);
 
 }  // namespace jujube::control
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -4,6 +4,11 @@
 #include <utility>
 #include <variant>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "control/command.h"
 #include "core/clock.h"
 #include "feed/change.h"
@@ -12,6 +17,7 @@
 
 namespace jujube::controld {
 
+namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 namespace {
@@ -21,6 +27,8 @@
 // Without renewals, expired leases and lost hosts are recorded this often.
 constexpr milliseconds kIdleRenewal{1000};
 constexpr milliseconds kShiftInterval{1000};
+// A host that joins is a voter after two changes, well within a second.
+constexpr milliseconds kMembershipInterval{200};
 
 // Only the replica that proposed a claim logs it, so each one is logged once.
 void LogClaim(const ClaimRequest& request, const ClaimReply& reply) {
@@ -100,15 +108,19 @@
       [this](const net::FrameSource& source, const AllotmentRequest& request) {
         OnAllotment(source, request);
       });
-  m_frame_server =
-      std::make_unique<net::FrameServer>(m_io, m_frames, std::move(handlers));
   for (const ControlPeer& peer : m_settings.m_peers) {
-    if (peer.m_host == m_settings.m_host) {
-      JUJUBE_TRY(m_frame_server->Start(peer.m_peer));
-    }
+    if (peer.m_host == m_settings.m_host)
+      m_self = peer;
   }
+  if (m_settings.m_discovers_peers)
+    StartFleet(&handlers);
+  m_frame_server =
+      std::make_unique<net::FrameServer>(m_io, m_frames, std::move(handlers));
+  JUJUBE_TRY(m_frame_server->Start(m_self.m_peer));
   m_feed.Start();
   JUJUBE_TRY(m_runner.Start());
+  if (m_fleet)
+    asio::co_spawn(m_io, KeepMembers(), asio::detached);
   PublishFeed(nullptr);
   ScheduleRenewal(kIdleRenewal);
   return Success();
@@ -118,11 +130,36 @@
   m_is_stopped = true;
   m_renewal_timer.cancel();
   m_runner.Stop();
+  if (m_fleet)
+    m_fleet->Stop();
   if (m_frame_server)
     m_frame_server->Stop();
   m_feed.Stop();
 }
 
+// ---- Discovered hosts ------------------------------------------------------
+
+void ControlService::StartFleet(net::FrameDispatch* handlers) {
+  m_fleet = std::make_unique<Fleet>(
+      m_io, m_frames,
+      FleetOptions{
+          .m_host = m_settings.m_host,
+          .m_announcement_interval = m_settings.m_announcement_interval});
+  m_fleet->Register(handlers);
+  m_fleet->Start();
+}
+
+asio::awaitable<void> ControlService::KeepMembers() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    m_runner.KeepMembership();
+    m_fleet->SetControlHosts(m_runner.MemberEndpoints(), m_self.m_peer);
+    m_fleet->SetLeading(m_runner.IsLeader());
+    timer.expires_after(kMembershipInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 // ---- Applied commands ------------------------------------------------------
 
 void ControlService::OnApplied(std::uint64_t index,
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -12,11 +12,13 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "control/host_watch.h"
 #include "control/shift_driver.h"
+#include "controld/fleet.h"
 #include "controld/replica_runner.h"
 #include "feed/status_table.h"
 #include "gen/settings.h"
@@ -42,6 +44,9 @@
   void Stop();
 
   ReplicaRunner& Runner() { return m_runner; }
+  // Null unless hosts are discovered.
+  Fleet* Discovered() { return m_fleet.get(); }
+  const ControlPeer& Self() const { return m_self; }
   const feed::StatusTable& HostVersions() const { return m_statuses; }
 
  private:
@@ -50,6 +55,8 @@
     std::uint64_t m_incarnation = 0;
   };
 
+  void StartFleet(net::FrameDispatch* handlers);
+  boost::asio::awaitable<void> KeepMembers();
   void OnApplied(std::uint64_t index, const control::CommandResult& result);
   void OnRole(const consensus::RoleChange& change);
   void PublishFeed(const control::CommandResult* result);
@@ -72,6 +79,8 @@
   feed::StatusTable m_statuses;
   net::FeedServer m_feed;
   std::unique_ptr<net::FrameServer> m_frame_server;
+  std::unique_ptr<Fleet> m_fleet;
+  ControlPeer m_self;
   control::HostWatch m_watch;
   limits::LeaseClock m_lease_clock;
   limits::Planner m_planner;
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -84,21 +84,26 @@
 }  // namespace
 
 struct Daemon::State {
-  State(ControlSettings settings, ControlKeys keys)
-      : m_settings(std::move(settings)), m_keys(std::move(keys)) {}
+  State(ControlSettings settings, ControlKeys keys, FrontEnd front_end)
+      : m_settings(std::move(settings)),
+        m_keys(std::move(keys)),
+        m_front_end(std::move(front_end)) {}
 
   Status Start();
+  Status Listen(const Endpoint& endpoint, net::HttpHandler handler);
+  std::size_t OpenConnections() const;
   asio::awaitable<void> WaitForStop();
   asio::awaitable<void> HandOver();
   asio::awaitable<void> Pause();
 
   const ControlSettings m_settings;
   const ControlKeys m_keys;
+  const FrontEnd m_front_end;
   net::FrameCounters m_frame_counters;  // outlives the connections
   asio::io_context m_io{1};
   std::unique_ptr<ControlService> m_service;
   std::unique_ptr<OperatorApi> m_api;
-  std::unique_ptr<net::HttpListener> m_listener;
+  std::vector<std::unique_ptr<net::HttpListener>> m_listeners;
 };
 
 Status Daemon::State::Start() {
@@ -119,22 +124,49 @@
   JUJUBE_TRY(m_service->Start());
   m_api = std::make_unique<OperatorApi>(*m_service, m_settings.m_host,
                                         m_keys.m_operator);
-  m_listener = std::make_unique<net::HttpListener>(
-      m_io,
-      [this](net::HttpExchange& exchange) { return m_api->Handle(exchange); });
-  JUJUBE_TRY(m_listener->Listen(self->m_operator));
+  if (!m_front_end.m_replaces_operator_api) {
+    JUJUBE_TRY(Listen(self->m_operator, [this](net::HttpExchange& exchange) {
+      return m_api->Handle(exchange);
+    }));
+  }
+  for (const FrontEndListener& listener : m_front_end.m_listeners) {
+    JUJUBE_TRY(
+        Listen(listener.m_endpoint, listener.m_make_handler(*m_service)));
+  }
+  return Success();
+}
+
+Status Daemon::State::Listen(const Endpoint& endpoint,
+                             net::HttpHandler handler) {
+  m_listeners.push_back(
+      std::make_unique<net::HttpListener>(m_io, std::move(handler)));
+  JUJUBE_TRY(m_listeners.back()->Listen(endpoint));
   return Success();
 }
 
+std::size_t Daemon::State::OpenConnections() const {
+  std::size_t open = 0;
+  for (const auto& listener : m_listeners)
+    open += listener->OpenConnections();
+  return open;
+}
+
 asio::awaitable<void> Daemon::State::WaitForStop() {
-  asio::signal_set signals(m_io, SIGTERM, SIGINT);
-  co_await signals.async_wait(kTuple);
+  asio::signal_set signals(m_io, SIGTERM, SIGINT, SIGHUP);
+  while (true) {
+    const auto [error, number] = co_await signals.async_wait(kTuple);
+    if (error || number != SIGHUP)
+      break;
+    if (m_front_end.m_on_reload)
+      m_front_end.m_on_reload();
+  }
   co_await HandOver();
-  m_listener->Close();
+  for (const auto& listener : m_listeners)
+    listener->Close();
   // Lets the listener close its idle connections before they are counted.
   co_await Pause();
   const MonoTime deadline = MonoClock::now() + kResponseLimit;
-  while (m_listener->OpenConnections() > 0 && MonoClock::now() < deadline)
+  while (OpenConnections() > 0 && MonoClock::now() < deadline)
     co_await Pause();
   m_service->Stop();
   m_io.stop();
@@ -157,8 +189,10 @@
   co_await timer.async_wait(kTuple);
 }
 
-Daemon::Daemon(ControlSettings settings, ControlKeys keys)
-    : m_state(std::make_unique<State>(std::move(settings), std::move(keys))) {}
+Daemon::Daemon(ControlSettings settings, ControlKeys keys, FrontEnd front_end)
+    : m_state(std::make_unique<State>(std::move(settings),
+                                      std::move(keys),
+                                      std::move(front_end))) {}
 
 Daemon::~Daemon() = default;
 
--- a/src/controld/daemon.h
+++ b/src/controld/daemon.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/result.h"
+#include "controld/front_end.h"
 #include "gen/settings.h"
 
 namespace jujube::controld {
@@ -17,7 +18,7 @@
 
 class Daemon {
  public:
-  Daemon(ControlSettings settings, ControlKeys keys);
+  Daemon(ControlSettings settings, ControlKeys keys, FrontEnd front_end);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- /dev/null
+++ b/src/controld/operations.cc
@@ -0,0 +1,133 @@
+#include "controld/operations.h"
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "control/command.h"
+#include "control/proposal.h"
+#include "core/clock.h"
+#include "observe/log.h"
+
+namespace jujube::controld {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A document is prepared again when another one was accepted in between.
+constexpr int kMaxApplyAttempts = 4;
+
+void LogApply(const ApplyAnswer& answer, const std::string& operator_name) {
+  const LogEvent event = answer.m_outcome == ApplyOutcome::kAccepted
+                             ? LogEvent::kDocumentAccepted
+                         : answer.m_outcome == ApplyOutcome::kInvalid
+                             ? LogEvent::kDocumentRefused
+                             : LogEvent::kDocumentConflict;
+  observe::Log(event, {{"number", answer.m_accepted.m_number},
+                       {"index", answer.m_accepted.m_index},
+                       {"operator", operator_name}});
+}
+
+}  // namespace
+
+bool IsDone(const DrainAnswer& answer) {
+  return answer.m_outcome == DrainOutcome::kChanged ||
+         answer.m_outcome == DrainOutcome::kUnchanged;
+}
+
+// ---- Waiting for the log ---------------------------------------------------
+
+asio::awaitable<ProposalOutcome> Operations::Propose(std::string command) {
+  return asio::async_initiate<const asio::use_awaitable_t<>,
+                              void(ProposalOutcome)>(
+      [this](auto handler, const std::string& data) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        m_service.Runner().Propose(data,
+                                   [shared](const ProposalOutcome& outcome) {
+                                     std::move (*shared)(outcome);
+                                   });
+      },
+      asio::use_awaitable, std::move(command));
+}
+
+// Outside the coroutine, because GCC 12 destroys the captured replica of a
+// lambda in a co_await expression twice.
+asio::awaitable<ProposalOutcome> Operations::ProposeMembers(
+    consensus::MembershipStep step,
+    const VoterId& replica) {
+  return asio::async_initiate<const asio::use_awaitable_t<>,
+                              void(ProposalOutcome)>(
+      [this, step](auto handler, const VoterId& member) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        m_service.Runner().ChangeMembership(
+            step, member, [shared](const ProposalOutcome& outcome) {
+              std::move (*shared)(outcome);
+            });
+      },
+      asio::use_awaitable, replica);
+}
+
+asio::awaitable<bool> Operations::IsCurrent() {
+  return asio::async_initiate<const asio::use_awaitable_t<>, void(bool)>(
+      [this](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        m_service.Runner().ReadBarrier(
+            [shared](bool is_current) { std::move (*shared)(is_current); });
+      },
+      asio::use_awaitable);
+}
+
+// ---- Changes ---------------------------------------------------------------
+
+asio::awaitable<ApplyResult> Operations::Apply(
+    const Deployment& deployment,
+    const std::string& operator_name,
+    std::optional<std::uint64_t> base_number) {
+  ApplyAnswer answer{.m_outcome = ApplyOutcome::kBaseChanged};
+  for (int i = 0;
+       i < kMaxApplyAttempts && answer.m_outcome == ApplyOutcome::kBaseChanged;
+       ++i) {
+    // The state must be current before a document is judged by it.
+    if (!co_await IsCurrent()) {
+      co_return ApplyResult{
+          .m_outcome = {.m_fate = ProposalFate::kNotLeader}};
+    }
+    control::ApplyProposal proposal =
+        control::PrepareApply(m_service.Runner().State(), deployment,
+                              operator_name, base_number);
+    if (proposal.m_answer) {
+      answer = *proposal.m_answer;
+      break;
+    }
+    const ProposalOutcome outcome = co_await Propose(
+        control::MakeCommand(proposal.m_command, SystemClock().WallNow()));
+    if (outcome.m_fate != ProposalFate::kApplied)
+      co_return ApplyResult{.m_outcome = outcome};
+    answer = std::get<ApplyAnswer>(outcome.m_result->m_answer);
+    if (answer.m_outcome == ApplyOutcome::kBaseChanged) {
+      observe::Log(
+          LogEvent::kDocumentBaseChanged,
+          {{"number", deployment.m_number}, {"operator", operator_name}});
+    }
+  }
+  LogApply(answer, operator_name);
+  co_return ApplyResult{.m_answer = std::move(answer)};
+}
+
+asio::awaitable<ProposalOutcome> Operations::SetDrain(
+    const DrainCommand& command) {
+  const ProposalOutcome outcome =
+      co_await Propose(control::MakeCommand(command, SystemClock().WallNow()));
+  if (outcome.m_fate != ProposalFate::kApplied)
+    co_return outcome;
+  const auto& answer = std::get<DrainAnswer>(outcome.m_result->m_answer);
+  observe::Log(
+      IsDone(answer) ? LogEvent::kDrainChanged : LogEvent::kDrainRefused,
+      {{"name", command.m_drain.m_name}, {"active", command.m_active}});
+  co_return outcome;
+}
+
+}  // namespace jujube::controld
--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -82,21 +82,12 @@
   }
 }
 
-void LogApply(const ApplyAnswer& answer, const std::string& operator_name) {
-  const LogEvent event = answer.m_outcome == ApplyOutcome::kAccepted
-                             ? LogEvent::kDocumentAccepted
-                         : answer.m_outcome == ApplyOutcome::kInvalid
-                             ? LogEvent::kDocumentRefused
-                             : LogEvent::kDocumentConflict;
-  observe::Log(event, {{"number", answer.m_accepted.m_number},
-                       {"index", answer.m_accepted.m_index},
-                       {"operator", operator_name}});
-}
-
 }  // namespace
 
 OperatorApi::OperatorApi(ControlService& service, HostId host, std::string key)
-    : m_service(service), m_host(std::move(host)), m_key(std::move(key)) {}
+    : m_service(service),
+      m_operations(service),
+      m_host(std::move(host)), m_key(std::move(key)) {}
 
 asio::awaitable<void> OperatorApi::RespondToFate(
     net::HttpExchange& exchange,
@@ -147,48 +138,6 @@
   return std::string(name.value_or("unknown").substr(0, 200));
 }
 
-// ---- Waiting for the log ---------------------------------------------------
-
-asio::awaitable<ProposalOutcome> OperatorApi::Propose(std::string command) {
-  return asio::async_initiate<const asio::use_awaitable_t<>,
-                              void(ProposalOutcome)>(
-      [this](auto handler, const std::string& data) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        m_service.Runner().Propose(data,
-                                   [shared](const ProposalOutcome& outcome) {
-                                     std::move (*shared)(outcome);
-                                   });
-      },
-      asio::use_awaitable, std::move(command));
-}
-
-// Outside the coroutine, because GCC 12 destroys the captured replica of a
-// lambda in a co_await expression twice.
-asio::awaitable<ProposalOutcome> OperatorApi::ProposeMembers(
-    consensus::MembershipStep step,
-    const VoterId& replica) {
-  return asio::async_initiate<const asio::use_awaitable_t<>,
-                              void(ProposalOutcome)>(
-      [this, step](auto handler, const VoterId& member) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        m_service.Runner().ChangeMembership(
-            step, member, [shared](const ProposalOutcome& outcome) {
-              std::move (*shared)(outcome);
-            });
-      },
-      asio::use_awaitable, replica);
-}
-
-asio::awaitable<bool> OperatorApi::IsCurrent() {
-  return asio::async_initiate<const asio::use_awaitable_t<>, void(bool)>(
-      [this](auto handler) {
-        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        m_service.Runner().ReadBarrier(
-            [shared](bool is_current) { std::move (*shared)(is_current); });
-      },
-      asio::use_awaitable);
-}
-
 // ---- Reads -----------------------------------------------------------------
 
 ControlDaemonStatus OperatorApi::CurrentStatus() const {
@@ -242,7 +191,7 @@
     co_await RespondError(exchange, 404, "there is no " + std::string(path));
     co_return;
   }
-  if (!co_await IsCurrent()) {
+  if (!co_await m_operations.IsCurrent()) {
     const ProposalOutcome refused{.m_fate = ProposalFate::kNotLeader};
     co_await RespondToFate(exchange, refused);
     co_return;
@@ -287,37 +236,14 @@
     co_return;
   }
   const std::string name = OperatorName(exchange);
-  ApplyAnswer answer{.m_outcome = ApplyOutcome::kBaseChanged};
-  for (int i = 0;
-       i < kMaxApplyAttempts && answer.m_outcome == ApplyOutcome::kBaseChanged;
-       ++i) {
-    // The state must be current before a document is judged by it.
-    if (!co_await IsCurrent()) {
-      const ProposalOutcome refused{.m_fate = ProposalFate::kNotLeader};
-      co_await RespondToFate(exchange, refused);
-      co_return;
-    }
-    control::ApplyProposal proposal = control::PrepareApply(
-        m_service.Runner().State(), deployment.value(), name);
-    if (proposal.m_answer) {
-      answer = *proposal.m_answer;
-      break;
-    }
-    const ProposalOutcome outcome = co_await Propose(
-        control::MakeCommand(proposal.m_command, SystemClock().WallNow()));
-    if (outcome.m_fate != ProposalFate::kApplied) {
-      co_await RespondToFate(exchange, outcome);
-      co_return;
-    }
-    answer = std::get<ApplyAnswer>(outcome.m_result->m_answer);
-    if (answer.m_outcome == ApplyOutcome::kBaseChanged) {
-      observe::Log(
-          LogEvent::kDocumentBaseChanged,
-          {{"number", deployment.value().m_number}, {"operator", name}});
-    }
+  const ApplyResult result =
+      co_await m_operations.Apply(deployment.value(), name, std::nullopt);
+  if (!result.m_answer) {
+    co_await RespondToFate(exchange, result.m_outcome);
+    co_return;
   }
-  LogApply(answer, name);
-  co_await RespondJson(exchange, StatusOf(answer.m_outcome), ToJson(answer));
+  co_await RespondJson(exchange, StatusOf(result.m_answer->m_outcome),
+                       ToJson(*result.m_answer));
 }
 
 asio::awaitable<void> OperatorApi::SetDrain(net::HttpExchange& exchange,
@@ -331,17 +257,13 @@
   const DrainCommand command{.m_operator_name = OperatorName(exchange),
                              .m_drain = drain.value(),
                              .m_active = is_active};
-  const ProposalOutcome outcome =
-      co_await Propose(control::MakeCommand(command, SystemClock().WallNow()));
+  const ProposalOutcome outcome = co_await m_operations.SetDrain(command);
   if (outcome.m_fate != ProposalFate::kApplied) {
     co_await RespondToFate(exchange, outcome);
     co_return;
   }
   const auto answer = std::get<DrainAnswer>(outcome.m_result->m_answer);
-  const bool is_done = answer.m_outcome == DrainOutcome::kChanged ||
-                       answer.m_outcome == DrainOutcome::kUnchanged;
-  observe::Log(is_done ? LogEvent::kDrainChanged : LogEvent::kDrainRefused,
-               {{"name", drain.value().m_name}, {"active", is_active}});
+  const bool is_done = IsDone(answer);
   co_await RespondJson(exchange, is_done ? kOk : kUnprocessable,
                        ToJson(answer));
 }
@@ -356,7 +278,7 @@
   const RemoveHostCommand command{.m_operator_name = OperatorName(exchange),
                                   .m_host = host.value().m_host};
   const ProposalOutcome outcome =
-      co_await Propose(control::MakeCommand(command, SystemClock().WallNow()));
+      co_await m_operations.Propose(control::MakeCommand(command, SystemClock().WallNow()));
   if (outcome.m_fate != ProposalFate::kApplied) {
     co_await RespondToFate(exchange, outcome);
     co_return;
@@ -384,7 +306,7 @@
   const auto step =
       static_cast<consensus::MembershipStep>(change.value().m_step);
   const VoterId replica = change.value().m_replica;
-  const ProposalOutcome outcome = co_await ProposeMembers(step, replica);
+  const ProposalOutcome outcome = co_await m_operations.ProposeMembers(step, replica);
   if (outcome.m_fate == ProposalFate::kRefused) {
     co_await RespondError(exchange, kConflict, outcome.m_error);
   } else if (outcome.m_fate != ProposalFate::kApplied) {
--- a/src/controld/operator_api.h
+++ b/src/controld/operator_api.h
@@ -21,6 +21,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "controld/control_service.h"
+#include "controld/operations.h"
 #include "gen/control_status.h"
 #include "net/http_exchange.h"
 
@@ -47,17 +48,13 @@
                                           const std::string& body);
   boost::asio::awaitable<void> ChangeMembers(net::HttpExchange& exchange,
                                              const std::string& body);
-  boost::asio::awaitable<ProposalOutcome> Propose(std::string command);
-  boost::asio::awaitable<ProposalOutcome> ProposeMembers(
-      consensus::MembershipStep step,
-      const VoterId& replica);
-  boost::asio::awaitable<bool> IsCurrent();
   boost::asio::awaitable<void> RespondToFate(net::HttpExchange& exchange,
                                              const ProposalOutcome& outcome);
   ControlDaemonStatus CurrentStatus() const;
   std::string OperatorName(const net::HttpExchange& exchange) const;
 
   ControlService& m_service;
+  Operations m_operations;
   const HostId m_host;
   const std::string m_key;
 };
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -6,6 +6,8 @@
 #include <variant>
 
 #include "consensus/founding.h"
+#include "consensus/membership_plan.h"
+#include "core/endpoint_text.h"
 #include "observe/log.h"
 
 // Sections: start, peers, founding, steps, proposals, snapshots.
@@ -16,6 +18,10 @@
 
 namespace {
 
+// Longer than a restart and than a split that ends by itself: a host that is
+// back within it need not receive the log again.
+constexpr milliseconds kLostAfter{8000};
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -60,6 +66,8 @@
 Status ReplicaRunner::Start() {
   if (m_recovered.m_snapshot && m_recovered.m_snapshot->m_last_index == 0)
     m_founders = m_recovered.m_snapshot->m_voters;
+  for (const ControlPeer& peer : m_settings.m_peers)
+    m_peers[peer.m_host] = peer;
   m_introductions[m_self.m_host] = OwnIntroduction();
   if (m_recovered.m_torn_bytes > 0) {
     observe::Log(LogEvent::kTornTailTruncated,
@@ -100,24 +108,59 @@
   const bool has_log = m_replica && m_replica->Status().m_last_index > 0;
   return {.m_replica = m_self,
           .m_starts = m_starts,
+          .m_operator = m_peers.at(m_self.m_host).m_operator,
           .m_run = m_frames.m_incarnation,
           .m_founded = m_is_founded || has_log,
           .m_founders = m_founders};
 }
 
 void ReplicaRunner::ConnectToPeers() {
-  for (const ControlPeer& peer : m_settings.m_peers) {
-    if (peer.m_host == m_settings.m_host)
-      continue;
-    auto client = std::make_unique<net::FrameClient>(
-        m_io, m_frames, peer.m_peer, net::FrameDispatch());
-    net::FrameClient* raw = client.get();
-    client->OnConnection([this, raw](bool connected) {
-      if (connected)
-        raw->Send(OwnIntroduction());
-    });
-    client->Start();
-    m_clients.emplace(peer.m_host, std::move(client));
+  for (const ControlPeer& peer : m_settings.m_peers)
+    ConnectTo(peer);
+}
+
+void ReplicaRunner::ConnectTo(const ControlPeer& peer) {
+  if (peer.m_host == m_settings.m_host || m_clients.contains(peer.m_host))
+    return;
+  m_peers.emplace(peer.m_host, peer);
+  m_last_connected.emplace(peer.m_host, MonoClock::now());
+  auto client = std::make_unique<net::FrameClient>(m_io, m_frames, peer.m_peer,
+                                                   net::FrameDispatch());
+  net::FrameClient* raw = client.get();
+  client->OnConnection([this, raw](bool connected) {
+    if (connected)
+      raw->Send(OwnIntroduction());
+  });
+  client->Start();
+  m_clients.emplace(peer.m_host, std::move(client));
+}
+
+// A discovered host is named by its peer listener, so that the members of the
+// log are their addresses too.
+void ReplicaRunner::LearnPeer(const Introduction& introduction) {
+  const HostId& host = introduction.m_replica.m_host;
+  const auto known = m_peers.find(host);
+  if (known != m_peers.end()) {
+    known->second.m_operator = introduction.m_operator;
+    return;
+  }
+  const std::optional<Endpoint> endpoint = ParseEndpoint(host.m_value);
+  if (endpoint) {
+    ConnectTo({.m_host = host,
+               .m_peer = *endpoint,
+               .m_operator = introduction.m_operator});
+  }
+}
+
+void ReplicaRunner::ConnectToMembers() {
+  const Voters members = m_replica->Status().m_voters;
+  for (const auto* list : {&members.m_voters, &members.m_learners}) {
+    for (const VoterId& member : *list) {
+      const std::optional<Endpoint> endpoint =
+          ParseEndpoint(member.m_host.m_value);
+      if (endpoint)
+        ConnectTo({.m_host = member.m_host, .m_peer = *endpoint});
+    }
   }
 }
 
@@ -167,6 +210,8 @@
   m_has_peer_starts_to_write = false;
   m_accepted_peers[source.m_incarnation] = introduction.m_replica;
   m_introductions[introduction.m_replica.m_host] = introduction;
+  if (m_settings.m_discovers_peers)
+    LearnPeer(introduction);
   if (!m_replica)
     TryFounding();
 }
@@ -233,6 +278,70 @@
   Step(consensus::Tick{});
 }
 
+// ---- Members of a log whose hosts are discovered ---------------------------
+
+bool ReplicaRunner::HasIntroduced(const HostId& host) const {
+  if (host == m_self.m_host)
+    return true;
+  const auto client = m_clients.find(host);
+  return client != m_clients.end() && client->second->IsConnected() &&
+         m_introductions.contains(host);
+}
+
+void ReplicaRunner::KeepMembership() {
+  const MonoTime now = MonoClock::now();
+  for (const auto& [host, client] : m_clients) {
+    if (client->IsConnected())
+      m_last_connected[host] = now;
+  }
+  if (!m_settings.m_discovers_peers || !m_replica)
+    return;
+  ConnectToMembers();
+  if (!IsLeader() || m_is_changing_members)
+    return;
+  consensus::MembershipFacts facts{.m_members = m_replica->Status().m_voters};
+  for (const auto& [host, introduction] : m_introductions) {
+    if (HasIntroduced(host))
+      facts.m_present.push_back(introduction.m_replica);
+  }
+  for (const auto* list :
+       {&facts.m_members.m_voters, &facts.m_members.m_learners}) {
+    for (const VoterId& member : *list) {
+      const auto seen = m_last_connected.find(member.m_host);
+      if (seen != m_last_connected.end() && now - seen->second > kLostAfter)
+        facts.m_lost.push_back(member);
+    }
+  }
+  const std::optional<consensus::MembershipChange> change =
+      consensus::PlanMembership(facts);
+  if (!change)
+    return;
+  m_is_changing_members = true;
+  ChangeMembership(change->m_step, change->m_replica,
+                   [this, change](const ProposalOutcome& outcome) {
+                     m_is_changing_members = false;
+                     if (outcome.m_fate != ProposalFate::kApplied)
+                       return;
+                     observe::Log(LogEvent::kMembershipChanged,
+                                  {{"host", change->m_replica.m_host.m_value},
+                                   {"step", static_cast<int>(change->m_step)}});
+                   });
+}
+
+std::vector<Endpoint> ReplicaRunner::MemberEndpoints() const {
+  std::vector<Endpoint> endpoints;
+  const Voters members = ReplicaState().m_voters;
+  for (const auto* list : {&members.m_voters, &members.m_learners}) {
+    for (const VoterId& member : *list) {
+      const std::optional<Endpoint> endpoint =
+          ParseEndpoint(member.m_host.m_value);
+      if (endpoint)
+        endpoints.push_back(*endpoint);
+    }
+  }
+  return endpoints;
+}
+
 // ---- Steps -----------------------------------------------------------------
 
 void ReplicaRunner::Step(consensus::Event event) {
@@ -445,11 +554,10 @@
 std::optional<ControlPeer> ReplicaRunner::Leader() const {
   if (!m_leader)
     return std::nullopt;
-  for (const ControlPeer& peer : m_settings.m_peers) {
-    if (peer.m_host == m_leader->m_host)
-      return peer;
-  }
-  return std::nullopt;
+  const auto found = m_peers.find(m_leader->m_host);
+  if (found == m_peers.end())
+    return std::nullopt;
+  return found->second;
 }
 
 consensus::ReplicaStatus ReplicaRunner::ReplicaState() const {
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -75,6 +75,11 @@
   void ChangeMembership(consensus::MembershipStep step,
                         const VoterId& replica,
                         ProposalCallback callback);
+  // With discovery: proposes the next change that PlanMembership names. Called
+  // now and then; does nothing unless this replica leads.
+  void KeepMembership();
+  // Peer listeners of the members of the log, this host included.
+  std::vector<Endpoint> MemberEndpoints() const;
   // Calls back with true once the state is current.
   void ReadBarrier(ReadCallback callback);
   void Transfer();
@@ -84,7 +89,7 @@
   void CheckLeadership();
   bool IsLeader() const;
   bool IsStarted() const { return m_replica.has_value(); }
-  std::optional<ControlPeer> Leader() const;  // as in the settings
+  std::optional<ControlPeer> Leader() const;  // of the hosts known here
   consensus::ReplicaStatus ReplicaState() const;
   const VoterId& Self() const { return m_self; }
   const control::StateMachine& State() const { return m_state; }
@@ -104,6 +109,10 @@
   void OnMessage(const net::FrameSource& source, consensus::Message message);
   Introduction OwnIntroduction() const;
   void ConnectToPeers();
+  void ConnectTo(const ControlPeer& peer);
+  void ConnectToMembers();
+  void LearnPeer(const Introduction& introduction);
+  bool HasIntroduced(const HostId& host) const;
   void TryFounding();
   void StartReplica();
   // An event that arrives while another one is being carried out waits, so that
@@ -131,7 +140,10 @@
   consensus::StartRegistry m_start_registry;
   std::map<HostId, Introduction> m_introductions;
   std::map<std::uint64_t, VoterId> m_accepted_peers;  // by frame incarnation
+  std::map<HostId, ControlPeer> m_peers;  // hosts known here
   std::map<HostId, std::unique_ptr<net::FrameClient>> m_clients;
+  std::map<HostId, MonoTime> m_last_connected;
+  bool m_is_changing_members = false;
   std::optional<consensus::Replica> m_replica;
   std::deque<consensus::Event> m_events;  // waiting
   bool m_is_stepping = false;
--- /dev/null
+++ b/src/core/endpoint_text.h
@@ -0,0 +1,18 @@
+// Text form of an endpoint: "10.0.0.1:7400".
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gen/types.h"
+
+namespace jujube {
+
+std::string EndpointText(const Endpoint& endpoint);
+
+// Nothing unless the text is an IPv4 address, a colon and a port from 1 on.
+std::optional<Endpoint> ParseEndpoint(std::string_view text);
+
+}  // namespace jujube
--- a/src/daemons/controld.cc
+++ b/src/daemons/controld.cc
@@ -23,7 +23,7 @@
       jujube::observe::ConfigureLog(settings.m_log, settings.m_host.m_value));
   if (FLAGS_check)
     return jujube::Success();
-  jujube::controld::Daemon daemon(settings, keys);
+  jujube::controld::Daemon daemon(settings, keys, {});
   JUJUBE_TRY(daemon.Start());
   daemon.Run();
   return jujube::Success();
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
 
 #include "core/clock.h"
 #include "entry/connection_pool.h"
+#include "entry/dialect.h"
 #include "entry/link_pacer.h"
 #include "entry/span_scope.h"
 #include "gen/claims.h"
@@ -40,28 +42,33 @@
   std::string m_error;                               // detail of the failure
   bool m_is_head_forwarded = false;  // the caller has a part of the response
   std::optional<StoredAnswer> m_answer;  // buffered response, not sent yet
+  std::optional<std::uint32_t> m_reported_requests;  // at the instance
 };
 
+template <Dialect D>
 class AttemptRunner {
  public:
   AttemptRunner(net::HttpExchange& exchange,
                 ConnectionPool& pool,
                 const LinkPacer& pacer,
+                const Route& route,
                 MonoTime deadline,
                 const SpanScope& span)
       : m_exchange(exchange),
         m_pool(pool),
         m_pacer(pacer),
+        m_route(route),
         m_deadline(deadline),
         m_span(span) {}
 
-  // `may_reuse`: an idle connection is allowed. A request that must not repeat
-  // gets a new one, since a write on an idle connection that is being closed
-  // leaves it unknown whether the request ran.
+  // `is_repeatable`: an idle connection is allowed, and the request is
+  // cancelled when the caller goes away. A request that must not repeat gets a
+  // new connection, since a write on an idle one that is being closed leaves it
+  // unknown whether the request ran, and is finished without its caller.
   boost::asio::awaitable<AttemptResult> Run(const Endpoint& endpoint,
                                             std::uint64_t incarnation,
                                             const OutgoingRequest& request,
-                                            bool may_reuse);
+                                            bool is_repeatable);
 
  private:
   using Failure = request::AttemptFailure;
@@ -69,8 +76,7 @@
   void Note(request::AttemptEvent event);
   void Fail(Failure failure, const Error& error);
   boost::asio::awaitable<bool> Open(const Endpoint& endpoint,
-                                    std::uint64_t incarnation,
-                                    bool may_reuse);
+                                    std::uint64_t incarnation);
   boost::asio::awaitable<bool> Send(const OutgoingRequest& request);
   boost::asio::awaitable<bool> SendPart(std::string_view data);
   boost::asio::awaitable<bool> SendRest();
@@ -84,7 +90,9 @@
   net::HttpExchange& m_exchange;
   ConnectionPool& m_pool;
   const LinkPacer& m_pacer;
+  const Route& m_route;
   const MonoTime m_deadline;
+  bool m_is_repeatable = true;
   const SpanScope& m_span;  // of the attempt
   std::unique_ptr<net::HttpConnection> m_connection;
   AttemptResult m_result;
--- a/src/entry/attempt_runner.cc
+++ b/src/entry/attempt_runner_impl.h
@@ -1,3 +1,7 @@
+// Definitions of AttemptRunner, for the sources that instantiate it.
+
+#pragma once
+
 #include "entry/attempt_runner.h"
 
 #include <array>
@@ -9,51 +13,40 @@
 namespace jujube::entry {
 
 namespace asio = boost::asio;
-using request::AttemptEvent;
-
-namespace {
 
-constexpr std::size_t kPartBytes = 16384;
-constexpr std::string_view kStartedField = "Jujube-Started";
-constexpr std::string_view kVerdictField = "Jujube-Verdict";
+namespace attempt_internal {
 
-std::vector<Header> EndToEnd(const std::vector<Header>& headers) {
-  std::vector<Header> kept;
-  for (const Header& header : headers) {
-    if (!net::IsHopByHop(header.m_name) &&
-        !net::EqualsIgnoreCase(header.m_name, kVerdictField))
-      kept.push_back(header);
-  }
-  kept.push_back(
-      {std::string(kVerdictField), std::string(VerdictText(Verdict::kRan))});
-  return kept;
-}
-
-bool FailedByDeadline(const Error& error) {
+inline constexpr std::size_t kPartBytes = 16384;
+inline bool FailedByDeadline(const Error& error) {
   return error.m_code == ErrorCode::kTimeout;
 }
 
-}  // namespace
+}  // namespace attempt_internal
 
-void AttemptRunner::Note(AttemptEvent event) {
+template <Dialect D>
+void AttemptRunner<D>::Note(request::AttemptEvent event) {
   m_result.m_attempt = request::Next(m_result.m_attempt, event);
 }
 
-void AttemptRunner::Fail(Failure failure, const Error& error) {
+template <Dialect D>
+void AttemptRunner<D>::Fail(Failure failure, const Error& error) {
   if (m_result.m_failure)
     return;
-  m_result.m_failure = FailedByDeadline(error) ? Failure::kTimeout : failure;
+  m_result.m_failure =
+      attempt_internal::FailedByDeadline(error) ? Failure::kTimeout : failure;
   m_result.m_error = error.m_message;
 }
 
-asio::awaitable<AttemptResult> AttemptRunner::Run(
+template <Dialect D>
+asio::awaitable<AttemptResult> AttemptRunner<D>::Run(
     const Endpoint& endpoint,
     std::uint64_t incarnation,
     const OutgoingRequest& request,
-    bool may_reuse) {
+    bool is_repeatable) {
+  m_is_repeatable = is_repeatable;
   // Each scope ends with its step or, on a failure, with this function.
   SpanScope connect = m_span.Child("connect");
-  if (!co_await Open(endpoint, incarnation, may_reuse)) {
+  if (!co_await Open(endpoint, incarnation)) {
     connect.Fail();
     co_return std::move(m_result);
   }
@@ -85,10 +78,10 @@
   co_return std::move(m_result);
 }
 
-asio::awaitable<bool> AttemptRunner::Open(const Endpoint& endpoint,
-                                          std::uint64_t incarnation,
-                                          bool may_reuse) {
-  if (may_reuse)
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::Open(const Endpoint& endpoint,
+                                             std::uint64_t incarnation) {
+  if (m_is_repeatable || D::kReusesForAtMostOnce)
     m_connection = m_pool.TakeIdle(endpoint, incarnation, MonoClock::now());
   if (m_connection != nullptr) {
     m_result.m_attempt.m_is_reused_connection = true;
@@ -96,6 +89,8 @@
     co_return true;
   }
   m_connection = m_pool.MakeNew();
+  if (D::kTakesCloseDelimited)
+    m_connection->TakeCloseDelimited();
   m_connection->SetDeadline(m_deadline);
   const Status connected = co_await m_connection->Connect(endpoint);
   if (!connected)
@@ -103,16 +98,17 @@
   co_return connected.has_value();
 }
 
-asio::awaitable<bool> AttemptRunner::Send(const OutgoingRequest& request) {
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::Send(const OutgoingRequest& request) {
   const bool allowed = co_await m_pacer.Pass(
-      LinkDirection::kToUpstream, request.m_body.size() + kPartBytes / 16,
-      m_deadline);
+      LinkDirection::kToUpstream,
+      request.m_body.size() + attempt_internal::kPartBytes / 16, m_deadline);
   if (!allowed) {
     Fail(Failure::kTimeout,
          MakeError(ErrorCode::kTimeout, "the link had no room in time"));
     co_return false;
   }
-  Note(AttemptEvent::kSendStarted);
+  Note(request::AttemptEvent::kSendStarted);
   const Status sent = co_await m_connection->SendHead(request.m_head);
   if (!sent) {
     Fail(Failure::kWriteFailed, sent.error());
@@ -129,19 +125,21 @@
       co_return false;
     }
   }
-  Note(AttemptEvent::kSent);
+  Note(request::AttemptEvent::kSent);
   co_return true;
 }
 
-asio::awaitable<bool> AttemptRunner::SendPart(std::string_view data) {
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendPart(std::string_view data) {
   const Status sent = co_await m_connection->SendBody(data);
   if (!sent)
     Fail(Failure::kWriteFailed, sent.error());
   co_return sent.has_value();
 }
 
-asio::awaitable<bool> AttemptRunner::SendRest() {
-  std::array<char, kPartBytes> part{};
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendRest() {
+  std::array<char, attempt_internal::kPartBytes> part{};
   while (true) {
     const Result<std::size_t> count = co_await m_exchange.ReadSome(part);
     if (!count) {
@@ -161,15 +159,19 @@
   }
 }
 
-asio::awaitable<std::optional<ResponseHead>> AttemptRunner::ReadHead() {
+template <Dialect D>
+asio::awaitable<std::optional<ResponseHead>> AttemptRunner<D>::ReadHead() {
   bool is_caller_gone = false;
   net::HttpConnection* connection = m_connection.get();
-  m_exchange.Watch([&is_caller_gone, connection] {
-    is_caller_gone = true;
-    connection->Close();
-  });
+  if (m_is_repeatable) {
+    m_exchange.Watch([&is_caller_gone, connection] {
+      is_caller_gone = true;
+      connection->Close();
+    });
+  }
   Result<ResponseHead> head = co_await m_connection->ReadHead();
-  m_exchange.Unwatch();
+  if (m_is_repeatable)
+    m_exchange.Unwatch();
   if (head)
     co_return std::move(head).value();
   if (is_caller_gone) {
@@ -181,7 +183,8 @@
   co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<std::size_t>> AttemptRunner::ReadPart(
+template <Dialect D>
+asio::awaitable<std::optional<std::size_t>> AttemptRunner<D>::ReadPart(
     std::span<char> buffer) {
   const Result<std::size_t> count = co_await m_connection->ReadSome(buffer);
   if (!count) {
@@ -197,14 +200,22 @@
   co_return count.value();
 }
 
-asio::awaitable<void> AttemptRunner::TakeResponse(ResponseHead head,
-                                                  bool has_body) {
-  const std::string started(
-      net::FindHeader(head.m_headers, kStartedField).value_or(""));
-  const bool not_started = request::SaysNotStarted(head.m_status, started);
-  Note(not_started ? AttemptEvent::kHeadNotStarted : AttemptEvent::kHead);
+template <Dialect D>
+asio::awaitable<void> AttemptRunner<D>::TakeResponse(ResponseHead head,
+                                                     bool has_body) {
+  if (!D::IsResponseTo(head, m_route)) {
+    // Late answer to an earlier request on the connection.
+    m_connection->Close();
+    Fail(Failure::kAnswerCut,
+         MakeError(ErrorCode::kIo, "the response belongs to another request"));
+    co_return;
+  }
+  m_result.m_reported_requests = D::ReportedRequests(head);
+  const bool not_started = D::SaysNotStarted(head);
+  Note(not_started ? request::AttemptEvent::kHeadNotStarted
+                   : request::AttemptEvent::kHead);
   std::string body;
-  std::array<char, kPartBytes> part{};
+  std::array<char, attempt_internal::kPartBytes> part{};
   while (has_body) {
     const std::optional<std::size_t> count = co_await ReadPart(part);
     if (!count)
@@ -225,15 +236,16 @@
   }
   if (m_result.m_failure)
     co_return;
-  Note(AttemptEvent::kAnswerEnd);
+  Note(request::AttemptEvent::kAnswerEnd);
   m_result.m_answer = StoredAnswer{.m_status = head.m_status,
-                                   .m_headers = EndToEnd(head.m_headers),
+                                   .m_headers = D::EndToEnd(head.m_headers),
                                    .m_body = std::move(body)};
 }
 
-asio::awaitable<void> AttemptRunner::Stream(ResponseHead head,
-                                            std::string first) {
-  head.m_headers = EndToEnd(head.m_headers);
+template <Dialect D>
+asio::awaitable<void> AttemptRunner<D>::Stream(ResponseHead head,
+                                               std::string first) {
+  head.m_headers = D::EndToEnd(head.m_headers);
   const auto caller_gone = [&](const Status& status) {
     Fail(Failure::kCallerGone, status.error());
   };
@@ -245,7 +257,7 @@
     caller_gone(status);
     co_return;
   }
-  std::array<char, kPartBytes> part{};
+  std::array<char, attempt_internal::kPartBytes> part{};
   while (true) {
     const std::optional<std::size_t> count = co_await ReadPart(part);
     if (!count)
@@ -258,7 +270,7 @@
       co_return;
     }
   }
-  Note(AttemptEvent::kAnswerEnd);
+  Note(request::AttemptEvent::kAnswerEnd);
   status = co_await m_exchange.End();
   if (!status)
     caller_gone(status);
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -15,8 +16,6 @@
 #include "core/json_document.h"
 #include "entry/entry_control.h"
 #include "entry/entry_shared.h"
-#include "entry/forwarder.h"
-#include "entry/lookup_handler.h"
 #include "entry/operator_handler.h"
 #include "entry/platform_handler.h"
 #include "gen/deployment_json.h"
@@ -35,7 +34,8 @@
 
 ServingView EmptyView() {
   return {.m_lookup = std::make_shared<const lookup::Table>(),
-          .m_upstreams = std::make_shared<const steering::UpstreamView>()};
+          .m_upstreams = std::make_shared<const steering::UpstreamView>(),
+          .m_routes = std::make_shared<const steering::RouteTable>()};
 }
 
 Result<std::optional<Deployment>> ReadDeployment(const std::string& path) {
@@ -53,26 +53,18 @@
 
 // What one worker thread serves with.
 struct Worker {
-  Worker(EntryShared& shared,
-         ClaimClient& claims,
-         asio::io_context& io,
-         std::uint64_t seed)
-      : m_forwarder(shared, claims, io.get_executor(), seed),
-        m_lookups(shared),
-        m_listener(io, [this](net::HttpExchange& exchange) {
-          return LookupHandler::Matches(exchange.Head())
-                     ? m_lookups.Handle(exchange)
-                     : m_forwarder.Handle(exchange);
-        }) {}
-
-  Forwarder m_forwarder;
-  LookupHandler m_lookups;
+  Worker(asio::io_context& io,
+         net::HttpHandler handler,
+         const net::HttpListenerOptions& options)
+      : m_listener(io, std::move(handler), options) {}
+
   net::HttpListener m_listener;
 };
 
 struct Daemon::State {
-  State(EntrySettings settings, const EntryKeys& keys)
-      : m_shared(std::move(settings),
+  State(EntrySettings settings, const EntryKeys& keys, FrontEnd front_end)
+      : m_front_end(std::move(front_end)),
+        m_shared(std::move(settings),
                  static_cast<std::uint64_t>(SystemClock().WallNow().count()),
                  EmptyView()),
         m_threads(m_shared.m_settings.m_worker_threads + 1U),
@@ -84,6 +76,7 @@
         m_operator(
             keys.m_operator,
             [this] { return m_control.CurrentStatus(); },
+            [this] { return m_control.IsReady(); },
             [this] { RequestStop(); }),
         m_platform_listener(m_threads.Context(kControlThread),
                             [this](net::HttpExchange& exchange) {
@@ -99,6 +92,7 @@
   void RequestStop();
   void FinishStop();
 
+  const FrontEnd m_front_end;
   EntryShared m_shared;
   net::WorkerGroup m_threads;
   EntryControl m_control;
@@ -113,7 +107,10 @@
 Status Daemon::State::StartOnControlThread(std::optional<Deployment> first) {
   const EntrySettings& settings = m_shared.m_settings;
   JUJUBE_TRY(m_control.Start(std::move(first)));
-  JUJUBE_TRY(m_platform_listener.Listen(settings.m_platform));
+  // Upstreams announce themselves to discovered control hosts.
+  if (!settings.m_discovers_control) {
+    JUJUBE_TRY(m_platform_listener.Listen(settings.m_platform));
+  }
   JUJUBE_TRY(m_operator_listener.Listen(settings.m_operator));
   return Success();
 }
@@ -123,9 +120,12 @@
   for (std::size_t i = 1; i < m_threads.size(); ++i) {
     std::optional<Result<std::uint16_t>> port;
     m_threads.Run(i, [&] {
-      m_workers.push_back(std::make_unique<Worker>(m_shared, m_control.Claims(),
-                                                   m_threads.Context(i),
-                                                   m_shared.m_incarnation + i));
+      asio::io_context& io = m_threads.Context(i);
+      m_workers.push_back(std::make_unique<Worker>(
+          io,
+          m_front_end.m_make_handler(m_shared, m_control.Claims(), io,
+                                     m_shared.m_incarnation + i),
+          m_front_end.m_listener));
       port = m_workers.back()->m_listener.Listen(endpoint);
     });
     if (!*port)
@@ -151,8 +151,12 @@
   m_is_stopped.notify_all();
 }
 
-Daemon::Daemon(EntrySettings settings, const EntryKeys& keys)
-    : m_state(std::make_unique<State>(std::move(settings), keys)) {}
+Daemon::Daemon(EntrySettings settings,
+               const EntryKeys& keys,
+               FrontEnd front_end)
+    : m_state(std::make_unique<State>(std::move(settings),
+                                      keys,
+                                      std::move(front_end))) {}
 
 Daemon::~Daemon() = default;
 
@@ -176,11 +180,20 @@
 void Daemon::Run() {
   State& state = *m_state;
   asio::io_context io(1);
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error)
-      state.m_threads.Post(kControlThread, [&] { state.RequestStop(); });
-  });
+  asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  std::function<void(const boost::system::error_code&, int)> on_signal =
+      [&](const boost::system::error_code& error, int number) {
+        if (error)
+          return;
+        if (number != SIGHUP) {
+          state.m_threads.Post(kControlThread, [&] { state.RequestStop(); });
+          return;
+        }
+        if (state.m_front_end.m_on_reload)
+          state.m_front_end.m_on_reload();
+        signals.async_wait(on_signal);
+      };
+  signals.async_wait(on_signal);
   std::thread waiter([&] { io.run(); });
   state.m_is_stopped.wait(false);
   io.stop();
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -1,6 +1,6 @@
 // Daemon: an entry daemon with its threads and listeners.
 //
-//   entry::Daemon daemon(settings, keys);
+//   entry::Daemon daemon(settings, keys, entry::NativeFrontEnd());
 //   JUJUBE_TRY(daemon.Start());
 //   daemon.Run();   // until SIGTERM, SIGINT or POST /drain, then a planned
 //   stop
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "core/result.h"
+#include "entry/front_end.h"
 #include "gen/settings.h"
 
 namespace jujube::entry {
@@ -23,7 +24,7 @@
 
 class Daemon {
  public:
-  Daemon(EntrySettings settings, const EntryKeys& keys);
+  Daemon(EntrySettings settings, const EntryKeys& keys, FrontEnd front_end);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -33,6 +33,21 @@
 constexpr milliseconds kTick{50};
 constexpr milliseconds kRenewInterval{1000};
 constexpr milliseconds kRenewTimeout{900};
+// To each discovered control host; three lost ones make it look silent.
+constexpr milliseconds kPresenceInterval{500};
+constexpr milliseconds kControlSilence{1700};
+// A list of control hosts that was not confirmed for so long is forgotten.
+constexpr milliseconds kControlListMemory{10000};
+
+membership::RegistryLimits MakeRegistryLimits(const EntrySettings& settings) {
+  membership::RegistryLimits limits;
+  // The control hosts say when an instance is gone.
+  if (settings.m_discovers_control) {
+    limits.m_lease = std::chrono::hours(24 * 365);
+    limits.m_relays_refreshes = false;
+  }
+  return limits;
+}
 
 net::FrameOptions MakeFrameOptions(const EntryShared& shared,
                                    const std::string& key,
@@ -70,14 +85,16 @@
       m_claims(io, m_leader),
       m_state(std::make_shared<const FeedState>()),
       m_lookup(std::make_shared<const lookup::Table>()),
-      m_registry(membership::RegistryLimits{}),
+      m_routes(std::make_shared<const steering::RouteTable>()),
+      m_registry(MakeRegistryLimits(shared.m_settings)),
       m_holder(shared.m_settings.m_host, shared.m_incarnation),
       // The first tick reads it before a document arrives from the feed.
       m_upstreams(std::make_shared<const steering::UpstreamView>()),
-      m_peers(io, m_frames, shared.m_settings.m_host, m_registry, [this] {
-        RebuildLookup();
-        Publish();
-      }) {}
+      m_peers(io,
+              m_frames,
+              shared.m_settings.m_host,
+              m_registry,
+              ExchangeOptions()) {}
 
 EntryControl::~EntryControl() = default;
 
@@ -85,6 +102,75 @@
   return !m_shared.m_settings.m_control.empty();
 }
 
+bool EntryControl::HasAllotments() const {
+  return HasControl() && !m_shared.m_settings.m_discovers_control;
+}
+
+net::PeerExchangeOptions EntryControl::ExchangeOptions() {
+  net::PeerExchangeOptions options;
+  options.m_on_leaving = [this] {
+    RebuildLookup();
+    Publish();
+  };
+  if (m_shared.m_settings.m_discovers_control) {
+    options.m_interval = kPresenceInterval;
+    options.m_silence = kControlSilence;
+    options.m_sends_changes = false;
+    options.m_on_delta = [this](const RegistryDelta& delta) {
+      OnPeerDelta(delta);
+    };
+  }
+  return options;
+}
+
+// A control host tells the others that it knows. Lists of several hosts are
+// joined, because one that is cut off may know less.
+void EntryControl::OnPeerDelta(const RegistryDelta& delta) {
+  const MonoTime now = MonoClock::now();
+  MarkDirty();
+  if (delta.m_control_hosts.empty())
+    return;
+  m_control_lists[delta.m_host] = {.m_hosts = delta.m_control_hosts,
+                                   .m_at = now};
+  std::vector<Endpoint> hosts = m_shared.m_settings.m_control;
+  for (const auto& [host, list] : m_control_lists) {
+    if (now - list.m_at < kControlListMemory)
+      hosts.insert(hosts.end(), list.m_hosts.begin(), list.m_hosts.end());
+  }
+  m_peers.SetPeers(hosts);
+}
+
+// The control hosts send callers here while this host is ready.
+void EntryControl::UpdatePresence() {
+  const bool is_ready = m_state->m_deployment.m_number > 0 && !m_drain;
+  const bool is_changed = m_is_ready.exchange(is_ready) != is_ready;
+  if (!m_shared.m_settings.m_discovers_control)
+    return;
+  m_peers.SetPresence(
+      {.m_availability_zone = m_shared.m_settings.m_availability_zone,
+       .m_caller = m_shared.m_settings.m_caller,
+       .m_ready = is_ready});
+  if (is_changed)
+    m_peers.SendNow();
+}
+
+net::FeedClientOptions EntryControl::FeedOptions() const {
+  const EntrySettings& settings = m_shared.m_settings;
+  net::FeedClientOptions options{
+      .m_frames = m_frames,
+      .m_host = settings.m_host,
+      .m_parents = settings.m_feed_parents.empty() ? settings.m_control
+                                                   : settings.m_feed_parents};
+  if (settings.m_discovers_control) {
+    // The feed comes straight from the control hosts, so a silent or cut off
+    // one is left early.
+    options.m_heartbeat = kPresenceInterval;
+    options.m_silence = kControlSilence;
+    options.m_max_origin_age = kControlSilence;
+  }
+  return options;
+}
+
 Status EntryControl::Start(std::optional<Deployment> first) {
   m_feed_server = std::make_unique<net::FeedServer>(
       m_io,
@@ -110,17 +196,13 @@
     UseState(std::make_shared<const FeedState>(
         feed::Canonical({.m_deployment = *std::move(first)})));
   }
+  UpdatePresence();
+  if (m_shared.m_settings.m_discovers_control)
+    m_peers.SetPeers(m_shared.m_settings.m_control);
   m_peers.Start();
   if (HasControl()) {
-    const auto& parents = m_shared.m_settings.m_feed_parents;
-    m_feed_client = std::make_unique<net::FeedClient>(
-        m_io,
-        net::FeedClientOptions{.m_frames = m_frames,
-                               .m_host = m_shared.m_settings.m_host,
-                               .m_parents = parents.empty()
-                                                ? m_shared.m_settings.m_control
-                                                : parents},
-        m_statuses);
+    m_feed_client =
+        std::make_unique<net::FeedClient>(m_io, FeedOptions(), m_statuses);
     m_feed_client->OnState(
         [this](const feed::Follower::State& state, const FeedChange* change) {
           // A relay passes on what it received before it rebuilds its own
@@ -132,6 +214,8 @@
             UseState(state);
         });
     m_feed_client->Start();
+  }
+  if (HasAllotments()) {
     m_leader.Start();
     asio::co_spawn(m_io, RenewLoop(), asio::detached);
   }
@@ -155,7 +239,12 @@
 
 void EntryControl::UseState(std::shared_ptr<const FeedState> state) {
   m_state = std::move(state);
-  m_peers.SetPeers(m_state->m_deployment);
+  if (!m_shared.m_settings.m_discovers_control) {
+    m_peers.SetPeers(net::EntryPeersOf(m_state->m_deployment,
+                                       m_shared.m_settings.m_host));
+  }
+  m_routes = std::make_shared<const steering::RouteTable>(
+      m_state->m_deployment.m_routes);
   RebuildLookup();
   TrackLimits();
   Publish();
@@ -186,7 +275,7 @@
 // ---- Views -----------------------------------------------------------------
 
 void EntryControl::TrackLimits() {
-  if (!HasControl())
+  if (!HasAllotments())
     return;
   const limits::Topology topology = limits::MakeTopology(m_state->m_deployment);
   const AvailabilityZoneId& own_zone = m_shared.m_settings.m_availability_zone;
@@ -220,7 +309,7 @@
       .m_deployment = m_state->m_deployment,
       .m_drains = drains,
       .m_zone = m_shared.m_settings.m_availability_zone,
-      .m_grants = HasControl() ? std::optional(m_grants) : std::nullopt};
+      .m_grants = HasAllotments() ? std::optional(m_grants) : std::nullopt};
   m_upstreams = std::make_shared<const steering::UpstreamView>(
       steering::BuildView(inputs, m_counters));
   auto view = std::make_unique<ServingView>();
@@ -229,7 +318,8 @@
       RegionOf(m_state->m_deployment, m_shared.m_settings.m_availability_zone);
   view->m_lookup = m_lookup;
   view->m_upstreams = m_upstreams;
-  view->m_limits = HasControl() ? m_holder.Table() : nullptr;
+  view->m_routes = m_routes;
+  view->m_limits = HasAllotments() ? m_holder.Table() : nullptr;
   view->m_is_refusing =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
   const MonoTime now = MonoClock::now();
@@ -273,6 +363,7 @@
                           steering::EvaluateOutliers(service, {}, now));
   }
   AdvanceDrain(now);
+  UpdatePresence();
   if (m_is_dirty)
     Publish();
   if (m_metrics.IsDue(now))
@@ -336,6 +427,9 @@
     limits.m_lookup_lifetime =
         std::max(limits.m_lookup_lifetime, service.m_lookup_lifetime);
   }
+  // The control hosts confirm within a message; one that does not is cut off.
+  if (m_shared.m_settings.m_discovers_control)
+    limits.m_propagation = kPresenceInterval;
   return limits;
 }
 
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -6,9 +6,11 @@
 
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -20,7 +22,6 @@
 #include "entry/control_metrics.h"
 #include "entry/entry_shared.h"
 #include "entry/leader_client.h"
-#include "entry/peer_exchange.h"
 #include "entry/slot_grants.h"
 #include "feed/status_table.h"
 #include "gen/feed.h"
@@ -31,8 +32,10 @@
 #include "net/feed_client.h"
 #include "net/feed_server.h"
 #include "net/frame_server.h"
+#include "net/peer_exchange.h"
 #include "request/host_drain.h"
 #include "steering/counter_table.h"
+#include "steering/route_table.h"
 
 namespace jujube::entry {
 
@@ -56,6 +59,9 @@
   // Stopping after the limit for work in progress cut it short.
   bool WasCutShort() const;
 
+  // Has a configuration and takes requests. May be asked on any thread.
+  bool IsReady() const { return m_is_ready.load(std::memory_order_relaxed); }
+
   EntryStatus CurrentStatus() const;
   ClaimClient& Claims() { return m_claims; }
 
@@ -66,6 +72,12 @@
   void Publish();
   void MarkDirty() { m_is_dirty = true; }
   bool HasControl() const;
+  // Shares of limits come from the control hosts.
+  bool HasAllotments() const;
+  net::PeerExchangeOptions ExchangeOptions();
+  void OnPeerDelta(const RegistryDelta& delta);
+  void UpdatePresence();
+  net::FeedClientOptions FeedOptions() const;
   boost::asio::awaitable<void> TickLoop();
   void Tick(MonoTime now);
   void AdvanceDrain(MonoTime now);
@@ -84,6 +96,7 @@
 
   std::shared_ptr<const FeedState> m_state;  // document in force
   std::shared_ptr<const lookup::Table> m_lookup;
+  std::shared_ptr<const steering::RouteTable> m_routes;
   membership::Registry m_registry;
   std::uint64_t m_published_registry = 0;
   steering::CounterTable m_counters;
@@ -95,11 +108,17 @@
   std::unique_ptr<net::FeedServer> m_feed_server;
   std::unique_ptr<net::FrameServer> m_frame_server;
   std::unique_ptr<net::FeedClient> m_feed_client;
-  PeerExchange m_peers;
+  net::PeerExchange m_peers;
 
   std::optional<request::HostDrain> m_drain;
   std::function<void()> m_on_drained;
   ControlMetrics m_metrics;
+  struct ControlList {
+    std::vector<Endpoint> m_hosts;
+    MonoTime m_at;
+  };
+  std::map<HostId, ControlList> m_control_lists;  // by control host
+  std::atomic<bool> m_is_ready = false;
   bool m_is_dirty = true;
   bool m_is_stopped = false;
 };
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -16,6 +16,7 @@
 
 #include "entry/attempt_runner.h"
 #include "entry/connection_pool.h"
+#include "entry/dialect.h"
 #include "entry/entry_shared.h"
 #include "entry/refusal.h"
 #include "entry/request_metrics.h"
@@ -23,13 +24,13 @@
 #include "entry/tracer.h"
 #include "gen/claims.h"
 #include "request/deadline.h"
-#include "steering/headroom_latency_policy.h"
 #include "steering/selector.h"
 
 namespace jujube::entry {
 
 class ClaimClient;
 
+template <Dialect D, steering::SelectionPolicy P>
 class Forwarder {
  public:
   Forwarder(EntryShared& shared,
@@ -44,6 +45,13 @@
  private:
   struct Request;
 
+  // Sends the refusal and logs it; `request` may be null before it is parsed.
+  boost::asio::awaitable<void> Refuse(net::HttpExchange& exchange,
+                                      const Route* route,
+                                      Refusal refusal);
+  void LogAttempt(const Request& request,
+                  const AttemptResult& result,
+                  bool is_retried) const;
   std::optional<Refusal> Admit(net::HttpExchange& exchange, Request& request);
   static std::optional<Refusal> CheckKey(const Request& request);
   boost::asio::awaitable<std::optional<Refusal>> ReadBody(
@@ -79,7 +87,7 @@
   Tracer m_tracer;
   RequestMetrics m_metrics;
   std::size_t m_next_refusal = 0;
-  steering::Selector<steering::HeadroomLatencyPolicy> m_selector;
+  steering::Selector<P> m_selector;
 };
 
 }  // namespace jujube::entry
--- a/src/entry/forwarder.cc
+++ b/src/entry/forwarder_impl.h
@@ -1,3 +1,7 @@
+// Definitions of Forwarder, for the sources that instantiate it.
+
+#pragma once
+
 #include "entry/forwarder.h"
 
 #include <algorithm>
@@ -5,10 +9,12 @@
 #include <utility>
 
 #include "core/hash.h"
+#include "entry/attempt_runner_impl.h"
 #include "entry/claim_client.h"
 #include "entry/refusal.h"
 #include "limits/topology.h"
 #include "net/http_exchange.h"
+#include "observe/log.h"
 #include "request/idempotency_key.h"
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
@@ -20,13 +26,17 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-namespace {
+namespace forwarder_internal {
 
 // A repeatable request with a larger body is streamed, and is not retried once
 // a part of its body was taken from the caller.
-constexpr std::size_t kMaxBufferedBody = 65536;
+inline constexpr std::size_t kMaxBufferedBody = 65536;
 
-std::uint16_t StatusOf(request::CallerAnswer answer) {
+inline constexpr std::uint16_t kUnavailable = 503;
+// Slots come free and configurations arrive within about a second.
+inline constexpr std::chrono::milliseconds kRetryAfter{1000};
+
+inline std::uint16_t StatusOf(request::CallerAnswer answer) {
   switch (answer) {
     case request::CallerAnswer::kUnavailable:
       return 503;
@@ -38,7 +48,7 @@
 }
 
 // How the attempt counts for the instance; nothing if it says nothing about it.
-std::optional<steering::Outcome> OutcomeOf(const AttemptResult& result) {
+inline std::optional<steering::Outcome> OutcomeOf(const AttemptResult& result) {
   if (!result.m_failure) {
     const bool is_error = result.m_answer && result.m_answer->m_status >= 500;
     return is_error ? steering::Outcome::kFailure : steering::Outcome::kSuccess;
@@ -54,7 +64,8 @@
 
 // The response for a claim that was not granted. `unclaimed` is the verdict if
 // the store of claims did not decide on the key.
-Refusal RefusalOfClaim(std::optional<ClaimOutcome> outcome, Verdict unclaimed) {
+inline Refusal RefusalOfClaim(std::optional<ClaimOutcome> outcome,
+                              Verdict unclaimed) {
   if (!outcome) {
     return {.m_verdict = unclaimed,
             .m_reason = "no control host could record the claim in time",
@@ -89,18 +100,19 @@
   }
 }
 
-asio::awaitable<void> Replay(net::HttpExchange& exchange,
-                             const StoredAnswer& answer) {
+inline asio::awaitable<void> Replay(net::HttpExchange& exchange,
+                                    const StoredAnswer& answer) {
   ResponseHead head{.m_status = answer.m_status, .m_headers = answer.m_headers};
   head.m_headers.push_back({"Jujube-Replayed", "yes"});
   co_await exchange.Respond(std::move(head), answer.m_body);
 }
 
-}  // namespace
+}  // namespace forwarder_internal
 
 // ---- Request state ---------------------------------------------------------
 
-struct Forwarder::Request {
+template <Dialect D, steering::SelectionPolicy P>
+struct Forwarder<D, P>::Request {
   Route m_route;
   Service m_service;  // policy, as of admission
   Weights m_weights;  // of the deployment
@@ -123,28 +135,35 @@
   // attempt with the same key may have run through another entry host; only a
   // caller that states that none can have run is told "not run".
   Verdict UnclaimedVerdict() const {
-    const bool is_known =
-        m_is_repeatable || m_is_claimed || m_route.m_has_no_earlier_run;
+    const bool is_known = !D::kHasClaims || m_is_repeatable || m_is_claimed ||
+                          m_route.m_has_no_earlier_run;
     return is_known ? Verdict::kNotRun : Verdict::kMayHaveRun;
   }
 };
 
-Forwarder::Forwarder(EntryShared& shared,
-                     ClaimClient& claims,
-                     const asio::any_io_executor& executor,
-                     std::uint64_t seed)
+template <Dialect D, steering::SelectionPolicy P>
+Forwarder<D, P>::Forwarder(EntryShared& shared,
+                           ClaimClient& claims,
+                           const asio::any_io_executor& executor,
+                           std::uint64_t seed)
     : m_shared(shared),
       m_claims(claims),
       m_pool(executor, shared.m_settings.m_pool_per_instance),
       m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
       m_selector(seed) {}
 
-asio::awaitable<void> Forwarder::Handle(net::HttpExchange& exchange) {
-  Result<Route> route = ParseRoute(exchange.Head());
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::Handle(net::HttpExchange& exchange) {
+  Result<Route> route = [&] {
+    const rcu::ReadSection section;
+    return D::Parse(exchange.Head(), m_shared.m_view.Read(section));
+  }();
   if (!route) {
-    const Refusal refusal{.m_status = StatusOf(route.error().m_code),
-                          .m_reason = route.error().m_message};
-    co_await Refuse(exchange, refusal);
+    Refusal refusal{.m_status = entry::StatusOf(route.error().m_code),
+                    .m_reason = route.error().m_message};
+    if (refusal.m_status == forwarder_internal::kUnavailable)
+      refusal.m_retry_after = forwarder_internal::kRetryAfter;
+    co_await Refuse(exchange, nullptr, std::move(refusal));
     co_return;
   }
   Request request;
@@ -160,7 +179,7 @@
   if (refusal) {
     request.m_verdict = refusal->m_verdict;
     Count(request);
-    co_await Refuse(exchange, *refusal);
+    co_await Refuse(exchange, &request.m_route, *refusal);
     co_return;
   }
   m_shared.m_in_progress.fetch_add(1, std::memory_order_relaxed);
@@ -169,8 +188,9 @@
     const std::optional<Refusal> bad_body =
         co_await ReadBody(exchange, request);
     if (bad_body)
-      co_await Refuse(exchange, *bad_body);
-    else if (request.m_is_repeatable || co_await Claim(exchange, request))
+      co_await Refuse(exchange, &request.m_route, *bad_body);
+    else if (!D::kHasClaims || request.m_is_repeatable ||
+             co_await Claim(exchange, request))
       co_await Carry(exchange, request);
   } catch (const std::exception&) {
     // Out of memory: the connection is closed without a response.
@@ -182,7 +202,8 @@
   m_shared.m_in_progress.fetch_sub(1, std::memory_order_relaxed);
 }
 
-void Forwarder::Count(Request& request) {
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::Count(Request& request) {
   request.m_span.Set("verdict", VerdictText(request.m_verdict));
   request.m_span.Set("attempts", request.m_attempts);
   if (request.m_budget != nullptr) {
@@ -204,10 +225,40 @@
   }
 }
 
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::Refuse(net::HttpExchange& exchange,
+                                              const Route* route,
+                                              Refusal refusal) {
+  observe::Log(LogEvent::kRequestRefused,
+               {{"request", route != nullptr ? route->m_id : std::string()},
+                {"route", route != nullptr ? route->m_name : std::string()},
+                {"status", refusal.m_status},
+                {"verdict", VerdictText(refusal.m_verdict)},
+                {"reason", refusal.m_reason}});
+  const std::string body = D::RefusalText(refusal);
+  ResponseHead head = D::RefusalHead(refusal);
+  co_await exchange.Respond(std::move(head), body);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::LogAttempt(const Request& request,
+                                 const AttemptResult& result,
+                                 bool is_retried) const {
+  observe::Log(LogEvent::kAttemptFailed,
+               {{"request", request.m_route.m_id},
+                {"route", request.m_route.m_name},
+                {"instance", request.m_tried.back().m_value},
+                {"verdict", VerdictText(request::VerdictOf(result.m_attempt))},
+                {"reused", result.m_attempt.m_is_reused_connection},
+                {"retried", is_retried},
+                {"error", result.m_error}});
+}
+
 // ---- Admission -------------------------------------------------------------
 
-std::optional<Refusal> Forwarder::Admit(net::HttpExchange& exchange,
-                                        Request& request) {
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::Admit(net::HttpExchange& exchange,
+                                              Request& request) {
   const rcu::ReadSection section;
   const ServingView& view = m_shared.m_view.Read(section);
   const steering::ServiceUpstreams* service =
@@ -225,11 +276,17 @@
   request.m_budget = service->m_budget;
   request.m_weights = view.m_upstreams->m_weights;
   request.m_region = view.m_region;
-  request.m_is_repeatable =
-      steering::IsRepeatable(request.m_service, exchange.Head().m_method);
+  request.m_is_repeatable = request.m_route.m_is_repeatable.value_or(
+      steering::IsRepeatable(request.m_service, exchange.Head().m_method));
   request.m_deadline = request::StartDeadline(
       request.m_received, request.m_route.m_stated_deadline,
-      request.m_service.m_default_deadline);
+      request.m_route.m_time_limit.value_or(
+          request.m_service.m_default_deadline));
+  if (request.m_route.m_time_limit) {
+    request.m_deadline.m_at =
+        std::min(request.m_deadline.m_at,
+                 request.m_received + *request.m_route.m_time_limit);
+  }
   std::optional<Refusal> bad_key = CheckKey(request);
   if (bad_key) {
     m_metrics.Refused(RefusalCause::kBadKey);
@@ -237,7 +294,8 @@
   }
   const steering::AdmissionAnswer answer = steering::DecideAdmission(
       {.m_is_host_draining = view.m_is_refusing,
-       .m_priority = request.m_service.m_priority,
+       .m_priority =
+           request.m_route.m_priority.value_or(request.m_service.m_priority),
        .m_slots = steering::CountSlots(*service, request.m_received),
        .m_host_in_progress =
            m_shared.m_in_progress.load(std::memory_order_relaxed),
@@ -254,21 +312,22 @@
                  .m_retry_after = steering::RetryAfter(answer)};
 }
 
-std::optional<Refusal> Forwarder::CheckKey(const Request& request) {
-  if (request.m_is_repeatable)
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::CheckKey(const Request& request) {
+  if (!D::kHasClaims || request.m_is_repeatable)
     return std::nullopt;
   // A request without a valid key is never carried, so it cannot have run.
   const Result<request::IdempotencyKey> key =
       request::ParseIdempotencyKey(request.m_route.m_key);
   if (key)
     return std::nullopt;
-  return Refusal{.m_status = 400,
-                 .m_reason = "Idempotency-Key: " + key.error().m_message};
+  return Refusal{.m_status = 400, .m_reason = key.error().m_message};
 }
 
 // ---- Body and claim --------------------------------------------------------
 
-asio::awaitable<std::optional<Refusal>> Forwarder::ReadBody(
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<std::optional<Refusal>> Forwarder<D, P>::ReadBody(
     net::HttpExchange& exchange,
     Request& request) {
   const RequestHead& head = exchange.Head();
@@ -276,8 +335,8 @@
   if (!head.m_has_body)
     co_return std::nullopt;
   const std::uint64_t stated = head.m_content_length.value_or(UINT64_MAX);
-  const bool is_buffered =
-      !request.m_is_repeatable || stated <= kMaxBufferedBody;
+  const bool is_buffered = !request.m_is_repeatable ||
+                           stated <= forwarder_internal::kMaxBufferedBody;
   if (!is_buffered) {
     outgoing.m_streams_rest = true;
     co_return std::nullopt;
@@ -295,8 +354,9 @@
   co_return std::nullopt;
 }
 
-asio::awaitable<bool> Forwarder::Claim(net::HttpExchange& exchange,
-                                       Request& request) {
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<bool> Forwarder<D, P>::Claim(net::HttpExchange& exchange,
+                                             Request& request) {
   const RequestHead& head = exchange.Head();
   request.m_attempt_number =
       m_shared.m_next_attempt.fetch_add(1, std::memory_order_relaxed);
@@ -319,19 +379,21 @@
   }
   if (reply && reply->m_outcome == ClaimOutcome::kFinished && reply->m_answer) {
     request.m_verdict = Verdict::kRan;
-    co_await Replay(exchange, *reply->m_answer);
+    co_await forwarder_internal::Replay(exchange, *reply->m_answer);
     co_return false;
   }
-  const Refusal refusal =
-      RefusalOfClaim(reply ? std::optional(reply->m_outcome) : std::nullopt,
-                     request.UnclaimedVerdict());
+  const Refusal refusal = forwarder_internal::RefusalOfClaim(
+      reply ? std::optional(reply->m_outcome) : std::nullopt,
+      request.UnclaimedVerdict());
   request.m_verdict = refusal.m_verdict;
   m_metrics.Refused(RefusalCause::kClaim);
-  co_await Refuse(exchange, refusal);
+  co_await Refuse(exchange, &request.m_route, refusal);
   co_return false;
 }
 
-void Forwarder::Finish(Request& request, std::optional<StoredAnswer> answer) {
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::Finish(Request& request,
+                             std::optional<StoredAnswer> answer) {
   if (!request.m_is_claimed)
     return;
   m_claims.Finish({.m_host = m_shared.m_settings.m_host,
@@ -345,8 +407,9 @@
 
 // ---- Attempts --------------------------------------------------------------
 
-asio::awaitable<void> Forwarder::Carry(net::HttpExchange& exchange,
-                                       Request& request) {
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::Carry(net::HttpExchange& exchange,
+                                             Request& request) {
   request.m_budget->OnRequest(request.m_service.m_retry_budget_permille);
   while (true) {
     SpanScope attempt = request.m_span.Child("attempt");
@@ -378,14 +441,17 @@
       co_await RespondWithAnswer(exchange, request, std::move(result));
       co_return;
     }
-    if (!MayRetry(request, result)) {
+    const bool is_retried = MayRetry(request, result);
+    LogAttempt(request, result, is_retried);
+    if (!is_retried) {
       co_await RespondToFailure(exchange, request, result);
       co_return;
     }
   }
 }
 
-std::optional<steering::Selection> Forwarder::Select(Request& request) {
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<steering::Selection> Forwarder<D, P>::Select(Request& request) {
   std::vector<RegionId> closed;
   std::vector<InstanceId> excluded = request.m_tried;
   const rcu::ReadSection section;
@@ -394,11 +460,13 @@
       steering::FindService(*view.m_upstreams, request.m_route.m_service);
   while (service != nullptr) {
     const MonoTime now = MonoClock::now();
-    std::optional<steering::Selection> selection =
-        m_selector.Select(*service, {.m_now = now,
-                                     .m_weights = request.m_weights,
-                                     .m_tried = excluded,
-                                     .m_closed = closed});
+    std::optional<steering::Selection> selection = m_selector.Select(
+        *service, {.m_now = now,
+                   .m_weights = request.m_weights,
+                   .m_tried = excluded,
+                   .m_closed = closed,
+                   .m_allowed = request.m_route.m_allowed_regions,
+                   .m_object = request.m_route.m_object});
     if (!selection) {
       NoteRefusedDemand(view, *service);
       return std::nullopt;
@@ -422,8 +490,10 @@
   return std::nullopt;
 }
 
-void Forwarder::NoteRefusedDemand(const ServingView& view,
-                                  const steering::ServiceUpstreams& service) {
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::NoteRefusedDemand(
+    const ServingView& view,
+    const steering::ServiceUpstreams& service) {
   if (view.m_limits == nullptr || service.m_upstreams.empty())
     return;
   // A failed acquisition counts as demand in the next renewal. Instances take
@@ -436,7 +506,8 @@
       MonoClock::now());
 }
 
-asio::awaitable<AttemptResult> Forwarder::Attempt(
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<AttemptResult> Forwarder<D, P>::Attempt(
     net::HttpExchange& exchange,
     Request& request,
     steering::Selection& selection,
@@ -447,22 +518,27 @@
   const milliseconds remaining =
       request::RemainingFor(request.m_deadline, started, selection.m_delay)
           .value_or(milliseconds(1));
-  request.m_outgoing.m_head =
-      UpstreamHead(exchange.Head(), request.m_route, remaining,
-                   m_tracer.Outgoing(span, exchange.Head().m_headers));
+  request.m_outgoing.m_head = D::UpstreamHead(
+      exchange.Head(), request.m_route, remaining,
+      m_tracer.Outgoing(span, exchange.Head().m_headers), selection);
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
-  AttemptRunner runner(exchange, m_pool, pacer, request.m_deadline.m_at, span);
+  AttemptRunner<D> runner(exchange, m_pool, pacer, request.m_route,
+                          request.m_deadline.m_at, span);
   AttemptResult result =
       co_await runner.Run(selection.m_endpoint, selection.m_incarnation,
                           request.m_outgoing, request.m_is_repeatable);
   const MonoTime ended = MonoClock::now();
-  const std::optional<steering::Outcome> outcome = OutcomeOf(result);
+  const std::optional<steering::Outcome> outcome =
+      forwarder_internal::OutcomeOf(result);
   if (outcome)
     selection.m_slot.Counters()->Record(*outcome, ended - started, ended);
+  if (result.m_reported_requests)
+    selection.m_slot.Counters()->ReportLoad(*result.m_reported_requests, ended);
   co_return result;
 }
 
-bool Forwarder::MayRetry(Request& request, const AttemptResult& result) {
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::MayRetry(Request& request, const AttemptResult& result) {
   const request::FailureDecision decision = request::Decide(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
   // The streamed part of a body is gone.
@@ -475,6 +551,7 @@
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
        .m_attempts = request.m_attempts,
+       .m_max_attempts = request.m_route.m_max_attempts,
        .m_remaining = request::Remaining(request.m_deadline, MonoClock::now())},
       request.m_service.m_retry_budget_permille, *request.m_budget);
   if (answer != steering::RetryAnswer::kRetry)
@@ -484,9 +561,11 @@
 
 // ---- Responses -------------------------------------------------------------
 
-asio::awaitable<void> Forwarder::RespondWithAnswer(net::HttpExchange& exchange,
-                                                   Request& request,
-                                                   AttemptResult result) {
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::RespondWithAnswer(
+    net::HttpExchange& exchange,
+    Request& request,
+    AttemptResult result) {
   // A streamed response is too large to be kept for resent requests.
   Finish(request, result.m_answer);
   if (!result.m_answer)
@@ -496,7 +575,8 @@
   co_await exchange.Respond(std::move(head), result.m_answer->m_body);
 }
 
-asio::awaitable<void> Forwarder::RespondWithoutUpstream(
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::RespondWithoutUpstream(
     net::HttpExchange& exchange,
     Request& request) {
   Finish(request, std::nullopt);
@@ -506,12 +586,14 @@
                         .m_verdict = request.m_verdict,
                         .m_reason = "no instance has a free slot",
                         .m_retry_after = std::chrono::seconds(1)};
-  co_await Refuse(exchange, refusal);
+  co_await Refuse(exchange, &request.m_route, refusal);
 }
 
-asio::awaitable<void> Forwarder::RespondToFailure(net::HttpExchange& exchange,
-                                                  Request& request,
-                                                  const AttemptResult& result) {
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<void> Forwarder<D, P>::RespondToFailure(
+    net::HttpExchange& exchange,
+    Request& request,
+    const AttemptResult& result) {
   Finish(request, std::nullopt);
   const request::FailureDecision decision = request::Decide(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
@@ -519,10 +601,11 @@
   if (decision.m_answer == request::CallerAnswer::kAbort ||
       decision.m_answer == request::CallerAnswer::kNothing)
     co_return;
-  const Refusal refusal{.m_status = StatusOf(decision.m_answer),
-                        .m_verdict = request.m_verdict,
-                        .m_reason = result.m_error};
-  co_await Refuse(exchange, refusal);
+  const Refusal refusal{
+      .m_status = forwarder_internal::StatusOf(decision.m_answer),
+      .m_verdict = request.m_verdict,
+      .m_reason = result.m_error};
+  co_await Refuse(exchange, &request.m_route, refusal);
 }
 
 }  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/native_dialect.cc
@@ -0,0 +1,88 @@
+#include "entry/native_dialect.h"
+
+#include "net/http_fields.h"
+#include "request/attempt.h"
+
+namespace jujube::entry {
+namespace {
+
+constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
+constexpr std::string_view kEarlierField = "Jujube-Earlier-Attempts";
+constexpr std::string_view kStartedField = "Jujube-Started";
+constexpr std::string_view kTraceField = "traceparent";
+constexpr std::string_view kVerdictField = "Jujube-Verdict";
+
+bool IsReplaced(std::string_view name) {
+  return net::IsHopByHop(name) || net::EqualsIgnoreCase(name, kDeadlineField) ||
+         net::EqualsIgnoreCase(name, kTraceField) ||
+         net::EqualsIgnoreCase(name, kEarlierField);
+}
+
+}  // namespace
+
+Result<Route> NativeDialect::Parse(const RequestHead& head,
+                                   const ServingView& /*view*/) {
+  return ParseRoute(head);
+}
+
+RequestHead NativeDialect::UpstreamHead(
+    const RequestHead& head,
+    const Route& route,
+    std::chrono::milliseconds left,
+    std::string_view traceparent,
+    const steering::Selection& /*selection*/) {
+  RequestHead upstream{.m_method = head.m_method,
+                       .m_target = route.m_target,
+                       .m_content_length = head.m_content_length,
+                       .m_has_body = head.m_has_body};
+  for (const Header& header : head.m_headers) {
+    if (!IsReplaced(header.m_name))
+      upstream.m_headers.push_back(header);
+  }
+  upstream.m_headers.push_back(
+      {std::string(kDeadlineField), std::to_string(left.count())});
+  if (!traceparent.empty()) {
+    upstream.m_headers.push_back(
+        {std::string(kTraceField), std::string(traceparent)});
+  }
+  return upstream;
+}
+
+bool NativeDialect::SaysNotStarted(const ResponseHead& head) {
+  return request::SaysNotStarted(
+      head.m_status,
+      net::FindHeader(head.m_headers, kStartedField).value_or(""));
+}
+
+bool NativeDialect::IsResponseTo(const ResponseHead& /*head*/,
+                                 const Route& /*route*/) {
+  return true;
+}
+
+std::optional<std::uint32_t> NativeDialect::ReportedRequests(
+    const ResponseHead& /*head*/) {
+  return std::nullopt;
+}
+
+std::vector<Header> NativeDialect::EndToEnd(
+    const std::vector<Header>& headers) {
+  std::vector<Header> kept;
+  for (const Header& header : headers) {
+    if (!net::IsHopByHop(header.m_name) &&
+        !net::EqualsIgnoreCase(header.m_name, kVerdictField))
+      kept.push_back(header);
+  }
+  kept.push_back(
+      {std::string(kVerdictField), std::string(VerdictText(Verdict::kRan))});
+  return kept;
+}
+
+ResponseHead NativeDialect::RefusalHead(const Refusal& refusal) {
+  return entry::RefusalHead(refusal);
+}
+
+std::string NativeDialect::RefusalText(const Refusal& refusal) {
+  return entry::RefusalText(refusal);
+}
+
+}  // namespace jujube::entry
--- /dev/null
+++ b/src/entry/native_dialect.h
@@ -0,0 +1,39 @@
+// NativeDialect: the header fields of jujubelift's own interface, docs/requests.md.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "entry/dialect.h"
+
+namespace jujube::entry {
+
+struct NativeDialect {
+  static constexpr bool kHasClaims = true;
+  // A crash looks like the end of such a response.
+  static constexpr bool kTakesCloseDelimited = false;
+  static constexpr bool kReusesForAtMostOnce = false;
+
+  static Result<Route> Parse(const RequestHead& head, const ServingView& view);
+  static RequestHead UpstreamHead(const RequestHead& head,
+                                  const Route& route,
+                                  std::chrono::milliseconds left,
+                                  std::string_view traceparent,
+                                  const steering::Selection& selection);
+  static bool SaysNotStarted(const ResponseHead& head);
+  static bool IsResponseTo(const ResponseHead& head, const Route& route);
+  static std::optional<std::uint32_t> ReportedRequests(
+      const ResponseHead& head);
+  static std::vector<Header> EndToEnd(const std::vector<Header>& headers);
+  static ResponseHead RefusalHead(const Refusal& refusal);
+  static std::string RefusalText(const Refusal& refusal);
+};
+
+static_assert(Dialect<NativeDialect>);
+
+}  // namespace jujube::entry
--- a/src/entry/operator_handler.cc
+++ b/src/entry/operator_handler.cc
@@ -34,6 +34,14 @@
     co_await RespondText(exchange, "text/plain", "ok\n");
     co_return;
   }
+  if (path == "/ready") {
+    const bool is_ready = m_is_ready();
+    ResponseHead ready{.m_status = static_cast<std::uint16_t>(
+                           is_ready ? 200 : 503)};
+    co_await exchange.Respond(std::move(ready),
+                              is_ready ? "ready\n" : "not ready\n");
+    co_return;
+  }
   Refusal refusal{.m_status = 401, .m_reason = "the operator key is required"};
   if (!net::HasBearerKey(head, m_key)) {
     co_await Refuse(exchange, refusal);
@@ -49,7 +57,7 @@
   } else {
     refusal = {.m_status = 404,
                .m_reason =
-                   "allowed are GET /healthz, /metrics and /status, "
+                   "allowed are GET /healthz, /ready, /metrics and /status, "
                    "and POST /drain"};
     co_await Refuse(exchange, refusal);
   }
--- a/src/entry/operator_handler.h
+++ b/src/entry/operator_handler.h
@@ -1,4 +1,5 @@
-// OperatorHandler: GET /healthz, /metrics and /status, and POST /drain.
+// OperatorHandler: GET /healthz, /ready, /metrics and /status, and POST
+// /drain. The first two need no key.
 
 #pragma once
 
@@ -16,9 +17,11 @@
  public:
   OperatorHandler(std::string key,
                   std::function<EntryStatus()> status,
+                  std::function<bool()> is_ready,
                   std::function<void()> drain)
       : m_key(std::move(key)),
         m_status(std::move(status)),
+        m_is_ready(std::move(is_ready)),
         m_drain(std::move(drain)) {}
 
   boost::asio::awaitable<void> Handle(net::HttpExchange& exchange) const;
@@ -26,6 +29,7 @@
  private:
   const std::string m_key;
   const std::function<EntryStatus()> m_status;
+  const std::function<bool()> m_is_ready;
   const std::function<void()> m_drain;
 };
 
--- a/src/entry/refusal.cc
+++ b/src/entry/refusal.cc
@@ -26,9 +26,10 @@
   head.m_headers = {
       {"Content-Type", "application/json"},
       {"Jujube-Verdict", std::string(VerdictText(refusal.m_verdict))}};
-  if (refusal.m_retry_after > std::chrono::seconds::zero()) {
-    head.m_headers.push_back(
-        {"Retry-After", std::to_string(refusal.m_retry_after.count())});
+  if (refusal.m_retry_after > std::chrono::milliseconds::zero()) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(refusal.m_retry_after);
+    head.m_headers.push_back({"Retry-After", std::to_string(seconds.count())});
   }
   return head;
 }
--- a/src/entry/refusal.h
+++ b/src/entry/refusal.h
@@ -22,7 +22,7 @@
   std::uint16_t m_status = 503;
   Verdict m_verdict = Verdict::kNotRun;
   std::string m_reason;
-  std::chrono::seconds m_retry_after{0};  // zero: no such field
+  std::chrono::milliseconds m_retry_after{0};  // zero: no such field
 
   friend auto operator<=>(const Refusal&, const Refusal&) = default;
 };
--- a/src/entry/route.cc
+++ b/src/entry/route.cc
@@ -9,15 +9,8 @@
 
 constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
 constexpr std::string_view kKeyField = "Idempotency-Key";
-constexpr std::string_view kTraceField = "traceparent";
 constexpr std::string_view kEarlierField = "Jujube-Earlier-Attempts";
 
-bool IsReplaced(std::string_view name) {
-  return net::IsHopByHop(name) || net::EqualsIgnoreCase(name, kDeadlineField) ||
-         net::EqualsIgnoreCase(name, kTraceField) ||
-         net::EqualsIgnoreCase(name, kEarlierField);
-}
-
 }  // namespace
 
 Result<Route> ParseRoute(const RequestHead& head) {
@@ -44,25 +37,15 @@
   return route;
 }
 
-RequestHead UpstreamHead(const RequestHead& head,
-                         const Route& route,
-                         std::chrono::milliseconds remaining,
-                         std::string_view traceparent) {
-  RequestHead upstream{.m_method = head.m_method,
-                       .m_target = route.m_target,
-                       .m_content_length = head.m_content_length,
-                       .m_has_body = head.m_has_body};
-  for (const Header& header : head.m_headers) {
-    if (!IsReplaced(header.m_name))
-      upstream.m_headers.push_back(header);
-  }
-  upstream.m_headers.push_back(
-      {std::string(kDeadlineField), std::to_string(remaining.count())});
-  if (!traceparent.empty()) {
-    upstream.m_headers.push_back(
-        {std::string(kTraceField), std::string(traceparent)});
-  }
-  return upstream;
+void ApplyRule(const RouteRule& rule, Route& route) {
+  route.m_name = rule.m_name;
+  route.m_is_repeatable = rule.m_kind == RequestKind::kRepeatable;
+  route.m_priority = rule.m_priority;
+  route.m_time_limit = rule.m_time_limit;
+  route.m_max_attempts = rule.m_max_attempts;
+  route.m_allowed_regions = rule.m_allowed_regions;
+  if (!rule.m_has_affinity)
+    route.m_object = 0;
 }
 
 }  // namespace jujube::entry
--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -176,6 +176,7 @@
   VoterId m_replica;           // the sender
   std::uint64_t m_starts = 0;  // start count of its data folder; a lower one
                                // than seen before is an old copy
+  Endpoint m_operator;         // its listener for operators
   std::uint64_t m_run = 0;  // incarnation of the process; another one under the
                             // same start count is an old copy
   bool m_founded = false;   // the folder holds a membership or log entries
--- a/src/gen/consensus_serialize.h
+++ b/src/gen/consensus_serialize.h
@@ -94,8 +94,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, Introduction& value) {
-  archive(value.m_replica, value.m_starts, value.m_run, value.m_founded,
-          value.m_founders);
+  archive(value.m_replica, value.m_starts, value.m_operator, value.m_run,
+          value.m_founded, value.m_founders);
 }
 
 }  // namespace jujube
--- a/src/gen/control.h
+++ b/src/gen/control.h
@@ -51,7 +51,9 @@
 struct ApplyCommand {
   std::string m_operator_name;  // operator who applied it (at most 200)
   std::uint64_t m_base_index =
-      0;                    // document index to which the difference applies
+      0;  // document index to which the difference applies
+  std::optional<std::uint64_t> m_base_number;  // number that must be in force,
+                                               // if the operator stated one
   std::string m_digest;     // digest of the whole document (at most 32)
   Deployment m_deployment;  // document without its blocks
   std::vector<CallerBlock> m_upserted;  // blocks that are new or have another
--- a/src/gen/control_serialize.h
+++ b/src/gen/control_serialize.h
@@ -25,8 +25,8 @@
 template <class Archive>
 void serialize(Archive& archive, ApplyCommand& value) {
   archive(wire::Bounded(value.m_operator_name, 200), value.m_base_index,
-          wire::Bounded(value.m_digest, 32), value.m_deployment,
-          wire::Bounded(value.m_upserted, 500000),
+          value.m_base_number, wire::Bounded(value.m_digest, 32),
+          value.m_deployment, wire::Bounded(value.m_upserted, 500000),
           wire::Bounded(value.m_removed, 500000));
 }
 
--- a/src/gen/deployment.cc
+++ b/src/gen/deployment.cc
@@ -6,6 +6,13 @@
 
 namespace jujube {
 
+std::string_view ToString(RequestKind value) {
+  static constexpr std::array<std::string_view, 2> kNames = {"Repeatable",
+                                                             "AtMostOnce"};
+  const auto index = static_cast<std::size_t>(value);
+  return index < kNames.size() ? kNames[index] : "invalid";
+}
+
 std::string_view ToString(DrainKind value) {
   static constexpr std::array<std::string_view, 4> kNames = {
       "Instance", "EntryHost", "AvailabilityZone", "Region"};
--- a/src/gen/deployment.h
+++ b/src/gen/deployment.h
@@ -87,6 +87,12 @@
       100;  // retries allowed per thousand requests (from 0, at most 1000)
   std::chrono::milliseconds m_slow_start{
       10000};  // ramp of a cold instance (from 0, at most 600000)
+  std::uint32_t m_max_connections =
+      360;  // connections that an instance takes from all entry hosts (from 1,
+            // at most 1000000)
+  std::uint32_t m_cold_requests_per_1000s =
+      0;  // requests that a cold instance tolerates in 1000 s, from all entry
+          // hosts; 0 sets no bound (at most 1000000000)
   std::uint16_t m_max_ejected_permille =
       340;  // largest part of the instances that may be ejected (from 0, at
             // most 1000)
@@ -94,6 +100,71 @@
   friend auto operator<=>(const Service&, const Service&) = default;
 };
 
+// Whether the system may send a request to an upstream twice.
+enum class RequestKind : std::uint8_t {
+  kRepeatable,  // may run more than once
+  kAtMostOnce,  // runs once at most for each request of a caller
+};
+
+// Name of a value as it stands in JSON and logs, such as "Repeatable".
+std::string_view ToString(RequestKind value);
+
+// A service that takes a part of a route's requests.
+struct WeightedService {
+  ServiceId m_service;         // the service
+  std::uint32_t m_weight = 1;  // its part, relative to the other services of
+                               // the route (from 0, at most 1000000)
+
+  friend auto operator<=>(const WeightedService&,
+                          const WeightedService&) = default;
+};
+
+// Requests of one host name and path prefix, and how they are served.
+struct RouteRule {
+  std::string m_name;  // name of the route (at most 200)
+  std::string
+      m_host;  // host name that callers ask for, in lower case (at most 255)
+  std::string m_path_prefix;  // the longest prefix of a path wins; begins and
+                              // ends with a slash (at most 4096)
+  RequestKind m_kind =
+      RequestKind::kAtMostOnce;  // whether its requests may run twice
+  std::chrono::milliseconds m_time_limit{
+      10000};  // longest time from arrival to the answer (from 1, at most
+               // 600000)
+  std::chrono::milliseconds m_target_latency{
+      1000};  // time within which an answer is worth most to the caller (from
+              // 1, at most 600000)
+  std::uint8_t m_priority = 5;  // importance; lower ones are refused first
+                                // under overload (from 0, at most 9)
+  std::vector<WeightedService>
+      m_services;  // services that share its requests; the weights add up to
+                   // more than 0 (at most 64 elements)
+  std::uint16_t m_max_attempts =
+      2;  // instances to which a request may be sent (from 1, at most 100)
+  bool m_has_affinity = false;  // requests for the same object go to the same
+                                // instance while it has room
+  std::vector<RegionId> m_allowed_regions;  // regions that may serve it; empty
+                                            // allows all (at most 64 elements)
+
+  friend auto operator<=>(const RouteRule&, const RouteRule&) = default;
+};
+
+// Bounds of what a caller may send and how long it may take.
+struct RequestLimits {
+  std::uint32_t m_max_header_bytes =
+      16384;  // largest head of a request (from 1024, at most 1048576)
+  std::uint64_t m_max_body_bytes =
+      16777216;  // largest body of a request (from 0, at most 1073741824)
+  std::chrono::milliseconds m_header_timeout{
+      10000};  // longest time for the head of a request (from 1, at most
+               // 600000)
+  std::chrono::milliseconds m_idle_timeout{
+      60000};  // longest time between requests of a connection (from 1, at most
+               // 3600000)
+
+  friend auto operator<=>(const RequestLimits&, const RequestLimits&) = default;
+};
+
 // A block of caller addresses and its home site.
 struct CallerBlock {
   std::string m_prefix;  // prefix in CIDR form (at most 49)
@@ -149,6 +220,15 @@
   std::vector<Site> m_sites;  // sites (at most 1024 elements)
   std::vector<EntryHost> m_entry_hosts;  // entry hosts (at most 2048 elements)
   std::vector<Service> m_services;       // services (at most 1024 elements)
+  std::vector<RouteRule>
+      m_routes;  // routes by host name and path (at most 100000 elements)
+  RequestLimits m_request_limits;  // bounds of what callers send
+  bool m_discovers_entry_hosts =
+      false;  // entry hosts announce themselves to the control hosts;
+              // entry_hosts may be empty
+  std::string m_source;  // text that the document was translated from, given
+                         // back to the operator who wrote it; empty if there is
+                         // none (at most 4194304)
   std::vector<CallerBlock>
       m_blocks;  // blocks of callers (at most 500000 elements)
 
--- a/src/gen/deployment_json.cc
+++ b/src/gen/deployment_json.cc
@@ -135,6 +135,10 @@
               value.m_retry_budget_permille);
   reader.Read("slow_start_ms", Presence::kOptional, {0, 600000},
               value.m_slow_start);
+  reader.Read("max_connections", Presence::kOptional, {1, 1000000},
+              value.m_max_connections);
+  reader.Read("cold_requests_per_1000s", Presence::kOptional,
+              {std::nullopt, 1000000000}, value.m_cold_requests_per_1000s);
   reader.Read("max_ejected_permille", Presence::kOptional, {0, 1000},
               value.m_max_ejected_permille);
   reader.RejectUnknownKeys();
@@ -150,10 +154,109 @@
   PutJson(object, "max_body_bytes", value.m_max_body_bytes);
   PutJson(object, "retry_budget_permille", value.m_retry_budget_permille);
   PutJson(object, "slow_start_ms", value.m_slow_start);
+  PutJson(object, "max_connections", value.m_max_connections);
+  PutJson(object, "cold_requests_per_1000s", value.m_cold_requests_per_1000s);
   PutJson(object, "max_ejected_permille", value.m_max_ejected_permille);
   return object;
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RequestKind& value) {
+  ParseEnum(json, path, problems, 2, value);
+}
+
+boost::json::value ToJson(const RequestKind& value) {
+  return boost::json::string(ToString(value));
+}
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               WeightedService& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("service", Presence::kRequired, {std::nullopt, std::nullopt},
+              value.m_service);
+  reader.Read("weight", Presence::kOptional, {0, 1000000}, value.m_weight);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const WeightedService& value) {
+  boost::json::object object;
+  PutJson(object, "service", value.m_service);
+  PutJson(object, "weight", value.m_weight);
+  return object;
+}
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RouteRule& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("name", Presence::kRequired, {std::nullopt, 200}, value.m_name);
+  reader.Read("host", Presence::kRequired, {std::nullopt, 255}, value.m_host);
+  reader.Read("path_prefix", Presence::kRequired, {std::nullopt, 4096},
+              value.m_path_prefix);
+  reader.Read("kind", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_kind);
+  reader.Read("time_limit_ms", Presence::kOptional, {1, 600000},
+              value.m_time_limit);
+  reader.Read("target_latency_ms", Presence::kOptional, {1, 600000},
+              value.m_target_latency);
+  reader.Read("priority", Presence::kOptional, {0, 9}, value.m_priority);
+  reader.Read("services", Presence::kRequired, {std::nullopt, 64},
+              value.m_services);
+  reader.Read("max_attempts", Presence::kOptional, {1, 100},
+              value.m_max_attempts);
+  reader.Read("has_affinity", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_has_affinity);
+  reader.Read("allowed_regions", Presence::kOptional, {std::nullopt, 64},
+              value.m_allowed_regions);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const RouteRule& value) {
+  boost::json::object object;
+  PutJson(object, "name", value.m_name);
+  PutJson(object, "host", value.m_host);
+  PutJson(object, "path_prefix", value.m_path_prefix);
+  PutJson(object, "kind", value.m_kind);
+  PutJson(object, "time_limit_ms", value.m_time_limit);
+  PutJson(object, "target_latency_ms", value.m_target_latency);
+  PutJson(object, "priority", value.m_priority);
+  PutJson(object, "services", value.m_services);
+  PutJson(object, "max_attempts", value.m_max_attempts);
+  PutJson(object, "has_affinity", value.m_has_affinity);
+  PutJson(object, "allowed_regions", value.m_allowed_regions);
+  return object;
+}
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RequestLimits& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("max_header_bytes", Presence::kOptional, {1024, 1048576},
+              value.m_max_header_bytes);
+  reader.Read("max_body_bytes", Presence::kOptional, {0, 1073741824},
+              value.m_max_body_bytes);
+  reader.Read("header_timeout_ms", Presence::kOptional, {1, 600000},
+              value.m_header_timeout);
+  reader.Read("idle_timeout_ms", Presence::kOptional, {1, 3600000},
+              value.m_idle_timeout);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const RequestLimits& value) {
+  boost::json::object object;
+  PutJson(object, "max_header_bytes", value.m_max_header_bytes);
+  PutJson(object, "max_body_bytes", value.m_max_body_bytes);
+  PutJson(object, "header_timeout_ms", value.m_header_timeout);
+  PutJson(object, "idle_timeout_ms", value.m_idle_timeout);
+  return object;
+}
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
@@ -255,6 +358,14 @@
               value.m_entry_hosts);
   reader.Read("services", Presence::kRequired, {std::nullopt, 1024},
               value.m_services);
+  reader.Read("routes", Presence::kOptional, {std::nullopt, 100000},
+              value.m_routes);
+  reader.Read("request_limits", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_request_limits);
+  reader.Read("discovers_entry_hosts", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_discovers_entry_hosts);
+  reader.Read("source", Presence::kOptional, {std::nullopt, 4194304},
+              value.m_source);
   reader.Read("blocks", Presence::kOptional, {std::nullopt, 500000},
               value.m_blocks);
   reader.RejectUnknownKeys();
@@ -273,6 +384,10 @@
   PutJson(object, "sites", value.m_sites);
   PutJson(object, "entry_hosts", value.m_entry_hosts);
   PutJson(object, "services", value.m_services);
+  PutJson(object, "routes", value.m_routes);
+  PutJson(object, "request_limits", value.m_request_limits);
+  PutJson(object, "discovers_entry_hosts", value.m_discovers_entry_hosts);
+  PutJson(object, "source", value.m_source);
   PutJson(object, "blocks", value.m_blocks);
   return object;
 }
--- a/src/gen/deployment_json.h
+++ b/src/gen/deployment_json.h
@@ -49,6 +49,30 @@
                Service& value);
 boost::json::value ToJson(const Service& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RequestKind& value);
+boost::json::value ToJson(const RequestKind& value);
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               WeightedService& value);
+boost::json::value ToJson(const WeightedService& value);
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RouteRule& value);
+boost::json::value ToJson(const RouteRule& value);
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               RequestLimits& value);
+boost::json::value ToJson(const RequestLimits& value);
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/deployment_serialize.h
+++ b/src/gen/deployment_serialize.h
@@ -46,9 +46,32 @@
           wire::Count(value.m_lookup_lifetime),
           wire::Count(value.m_default_deadline), value.m_max_body_bytes,
           value.m_retry_budget_permille, wire::Count(value.m_slow_start),
+          value.m_max_connections, value.m_cold_requests_per_1000s,
           value.m_max_ejected_permille);
 }
 
+template <class Archive>
+void serialize(Archive& archive, WeightedService& value) {
+  archive(value.m_service, value.m_weight);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RouteRule& value) {
+  archive(wire::Bounded(value.m_name, 200), wire::Bounded(value.m_host, 255),
+          wire::Bounded(value.m_path_prefix, 4096),
+          wire::Checked(value.m_kind, 2), wire::Count(value.m_time_limit),
+          wire::Count(value.m_target_latency), value.m_priority,
+          wire::Bounded(value.m_services, 64), value.m_max_attempts,
+          value.m_has_affinity, wire::Bounded(value.m_allowed_regions, 64));
+}
+
+template <class Archive>
+void serialize(Archive& archive, RequestLimits& value) {
+  archive(value.m_max_header_bytes, value.m_max_body_bytes,
+          wire::Count(value.m_header_timeout),
+          wire::Count(value.m_idle_timeout));
+}
+
 template <class Archive>
 void serialize(Archive& archive, CallerBlock& value) {
   archive(wire::Bounded(value.m_prefix, 49), value.m_site);
@@ -79,6 +102,8 @@
           wire::Bounded(value.m_sites, 1024),
           wire::Bounded(value.m_entry_hosts, 2048),
           wire::Bounded(value.m_services, 1024),
+          wire::Bounded(value.m_routes, 100000), value.m_request_limits,
+          value.m_discovers_entry_hosts, wire::Bounded(value.m_source, 4194304),
           wire::Bounded(value.m_blocks, 500000));
 }
 
--- a/src/gen/deployment_wire.cc
+++ b/src/gen/deployment_wire.cc
@@ -55,6 +55,30 @@
   return wire::DecodeValue<Service>(bytes, "Service");
 }
 
+std::string Encode(const WeightedService& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<WeightedService> DecodeWeightedService(std::string_view bytes) {
+  return wire::DecodeValue<WeightedService>(bytes, "WeightedService");
+}
+
+std::string Encode(const RouteRule& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<RouteRule> DecodeRouteRule(std::string_view bytes) {
+  return wire::DecodeValue<RouteRule>(bytes, "RouteRule");
+}
+
+std::string Encode(const RequestLimits& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<RequestLimits> DecodeRequestLimits(std::string_view bytes) {
+  return wire::DecodeValue<RequestLimits>(bytes, "RequestLimits");
+}
+
 std::string Encode(const CallerBlock& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/deployment_wire.h
+++ b/src/gen/deployment_wire.h
@@ -30,6 +30,15 @@
 std::string Encode(const Service& value);
 Result<Service> DecodeService(std::string_view bytes);
 
+std::string Encode(const WeightedService& value);
+Result<WeightedService> DecodeWeightedService(std::string_view bytes);
+
+std::string Encode(const RouteRule& value);
+Result<RouteRule> DecodeRouteRule(std::string_view bytes);
+
+std::string Encode(const RequestLimits& value);
+Result<RequestLimits> DecodeRequestLimits(std::string_view bytes);
+
 std::string Encode(const CallerBlock& value);
 Result<CallerBlock> DecodeCallerBlock(std::string_view bytes);
 
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -102,6 +102,15 @@
               "entry host lost its lease"};
     case LogEvent::kEntryHostRemoved:
       return {322, LogLevel::kInfo, "EntryHostRemoved", "entry host removed"};
+    case LogEvent::kEntryHostAppeared:
+      return {323, LogLevel::kInfo, "EntryHostAppeared",
+              "entry host connected"};
+    case LogEvent::kInstanceSilent:
+      return {324, LogLevel::kWarning, "InstanceSilent",
+              "upstream stopped announcing itself"};
+    case LogEvent::kLeaveNotConfirmed:
+      return {325, LogLevel::kWarning, "LeaveNotConfirmed",
+              "leaving upstream not acknowledged"};
     case LogEvent::kClaimStoreFull:
       return {330, LogLevel::kError, "ClaimStoreFull", "claim store full"};
     case LogEvent::kClaimConflict:
@@ -147,6 +156,13 @@
               "document in force cannot be used for look-ups"};
     case LogEvent::kDrainStarted:
       return {501, LogLevel::kInfo, "DrainStarted", "planned stop started"};
+    case LogEvent::kRequestRefused:
+      return {510, LogLevel::kInfo, "RequestRefused", "request refused"};
+    case LogEvent::kAttemptFailed:
+      return {511, LogLevel::kInfo, "AttemptFailed",
+              "attempt at an upstream failed"};
+    case LogEvent::kSettingsReloaded:
+      return {512, LogLevel::kInfo, "SettingsReloaded", "settings read again"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -51,6 +51,9 @@
   kEntryHostRegistered = 320,    // entry host registered
   kEntryHostLost = 321,          // entry host lost its lease
   kEntryHostRemoved = 322,       // entry host removed
+  kEntryHostAppeared = 323,      // entry host connected
+  kInstanceSilent = 324,         // upstream stopped announcing itself
+  kLeaveNotConfirmed = 325,      // leaving upstream not acknowledged
   kClaimStoreFull = 330,         // claim store full
   kClaimConflict = 331,          // key used with another request
   kCapPending = 340,             // lowered cap not in force yet
@@ -67,6 +70,9 @@
   kHostDrainCutShort = 441,  // drain ended with requests in progress
   kDocumentUnusable = 500,   // document in force cannot be used for look-ups
   kDrainStarted = 501,       // planned stop started
+  kRequestRefused = 510,     // request refused
+  kAttemptFailed = 511,      // attempt at an upstream failed
+  kSettingsReloaded = 512,   // settings read again
 };
 
 struct LogEventInfo {
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -45,6 +45,9 @@
       360;  // connections that it takes (from 1, at most 10000)
   std::optional<std::uint16_t>
       m_in_progress;  // requests in progress, if it reports load
+  std::chrono::milliseconds m_cold_for{
+      0};  // time for which it still serves slowly; zero once it is warm (from
+           // 0)
   std::chrono::milliseconds m_uptime{
       0};  // time since it started serving, for slow start (from 0)
 
@@ -60,12 +63,30 @@
   friend auto operator<=>(const RegistryEntry&, const RegistryEntry&) = default;
 };
 
+// What an entry host says about itself to the control hosts.
+struct EntryPresence {
+  AvailabilityZoneId m_availability_zone;  // availability zone of the host
+  Endpoint m_caller;                       // its listener for requests
+  bool m_ready = false;  // it has a configuration and takes requests
+
+  friend auto operator<=>(const EntryPresence&, const EntryPresence&) = default;
+};
+
 // Announcements that a peer may not have.
 struct RegistryDelta {
   HostId m_host;                    // sender
   std::uint64_t m_incarnation = 0;  // incarnation of the sender
   bool m_leaving =
       false;  // the sender is in a planned stop; look-ups leave it out
+  std::uint64_t m_version =
+      0;  // registry version of the sender that the entries lead to
+  std::uint64_t m_merged =
+      0;  // newest registry version of the receiver that the sender has merged
+  std::optional<EntryPresence>
+      m_presence;  // from an entry host to a control host
+  std::vector<Endpoint>
+      m_control_hosts;  // from a control host: peer listeners of all control
+                        // hosts that it knows (at most 64 elements)
   std::vector<HostId> m_omitted;  // entry hosts that the sender leaves out of
                                   // look-ups (at most 2048 elements)
   std::vector<RegistryEntry>
--- a/src/gen/membership_json.cc
+++ b/src/gen/membership_json.cc
@@ -44,6 +44,8 @@
               value.m_connections);
   reader.Read("in_progress", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_in_progress);
+  reader.Read("cold_for_ms", Presence::kOptional, {0, std::nullopt},
+              value.m_cold_for);
   reader.Read("uptime_ms", Presence::kOptional, {0, std::nullopt},
               value.m_uptime);
   reader.RejectUnknownKeys();
@@ -61,6 +63,7 @@
   PutJson(object, "slots", value.m_slots);
   PutJson(object, "connections", value.m_connections);
   PutJson(object, "in_progress", value.m_in_progress);
+  PutJson(object, "cold_for_ms", value.m_cold_for);
   PutJson(object, "uptime_ms", value.m_uptime);
   return object;
 }
@@ -83,4 +86,26 @@
   return object;
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               EntryPresence& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("availability_zone", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_availability_zone);
+  reader.Read("caller", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_caller);
+  reader.Read("ready", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_ready);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const EntryPresence& value) {
+  boost::json::object object;
+  PutJson(object, "availability_zone", value.m_availability_zone);
+  PutJson(object, "caller", value.m_caller);
+  PutJson(object, "ready", value.m_ready);
+  return object;
+}
+
 }  // namespace jujube
--- a/src/gen/membership_json.h
+++ b/src/gen/membership_json.h
@@ -31,4 +31,10 @@
                RegistryEntry& value);
 boost::json::value ToJson(const RegistryEntry& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               EntryPresence& value);
+boost::json::value ToJson(const EntryPresence& value);
+
 }  // namespace jujube
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -17,7 +17,8 @@
   archive(value.m_service, value.m_instance, value.m_incarnation,
           value.m_sequence, wire::Checked(value.m_state, 3), value.m_endpoint,
           value.m_availability_zone, value.m_slots, value.m_connections,
-          value.m_in_progress, wire::Count(value.m_uptime));
+          value.m_in_progress, wire::Count(value.m_cold_for),
+          wire::Count(value.m_uptime));
 }
 
 template <class Archive>
@@ -25,9 +26,16 @@
   archive(value.m_announcement, wire::Count(value.m_age));
 }
 
+template <class Archive>
+void serialize(Archive& archive, EntryPresence& value) {
+  archive(value.m_availability_zone, value.m_caller, value.m_ready);
+}
+
 template <class Archive>
 void serialize(Archive& archive, RegistryDelta& value) {
-  archive(value.m_host, value.m_incarnation, value.m_leaving,
+  archive(value.m_host, value.m_incarnation, value.m_leaving, value.m_version,
+          value.m_merged, value.m_presence,
+          wire::Bounded(value.m_control_hosts, 64),
           wire::Bounded(value.m_omitted, 2048),
           wire::Bounded(value.m_entries, 4096));
 }
--- a/src/gen/membership_wire.cc
+++ b/src/gen/membership_wire.cc
@@ -23,6 +23,14 @@
   return wire::DecodeValue<RegistryEntry>(bytes, "RegistryEntry");
 }
 
+std::string Encode(const EntryPresence& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<EntryPresence> DecodeEntryPresence(std::string_view bytes) {
+  return wire::DecodeValue<EntryPresence>(bytes, "EntryPresence");
+}
+
 std::string Encode(const RegistryDelta& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/membership_wire.h
+++ b/src/gen/membership_wire.h
@@ -18,6 +18,9 @@
 std::string Encode(const RegistryEntry& value);
 Result<RegistryEntry> DecodeRegistryEntry(std::string_view bytes);
 
+std::string Encode(const EntryPresence& value);
+Result<EntryPresence> DecodeEntryPresence(std::string_view bytes);
+
 std::string Encode(const RegistryDelta& value);
 Result<RegistryDelta> DecodeRegistryDelta(std::string_view bytes);
 
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -74,6 +74,9 @@
   std::string m_operator_key_file;  // key of operators
   std::string m_deployment_file;    // document to serve before the first one
                                     // arrives from the feed
+  bool m_discovers_control =
+      false;  // `control` names seeds only; the other control hosts are learned
+              // from them, and upstreams announce themselves there
   std::uint16_t m_worker_threads =
       2;  // threads that carry requests (from 1, at most 64)
   std::uint16_t m_pool_per_instance =
@@ -104,6 +107,12 @@
   std::vector<ControlPeer> m_peers;  // control hosts at first start, this one
                                      // included (at most 19 elements)
   std::string m_data_folder;         // folder for the log and snapshots
+  bool m_discovers_peers =
+      false;  // control hosts beyond `peers` may join, named by the address and
+              // port of their peer listener; the leader makes them members
+  std::chrono::milliseconds m_announcement_interval{
+      1500};  // interval of the announcements of upstreams to control hosts
+              // (from 50, at most 60000)
   bool m_join = false;  // start an empty data folder as a learner instead of a
                         // founding voter
   std::string m_peer_key_file;      // key between the system's own processes
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -101,6 +101,8 @@
               {std::nullopt, std::nullopt}, value.m_operator_key_file);
   reader.Read("deployment_file", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_deployment_file);
+  reader.Read("discovers_control", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_discovers_control);
   reader.Read("worker_threads", Presence::kOptional, {1, 64},
               value.m_worker_threads);
   reader.Read("pool_per_instance", Presence::kOptional, {1, 400},
@@ -128,6 +130,7 @@
   PutJson(object, "platform_key_file", value.m_platform_key_file);
   PutJson(object, "operator_key_file", value.m_operator_key_file);
   PutJson(object, "deployment_file", value.m_deployment_file);
+  PutJson(object, "discovers_control", value.m_discovers_control);
   PutJson(object, "worker_threads", value.m_worker_threads);
   PutJson(object, "pool_per_instance", value.m_pool_per_instance);
   PutJson(object, "drain_limit_ms", value.m_drain_limit);
@@ -170,6 +173,10 @@
   reader.Read("peers", Presence::kRequired, {std::nullopt, 19}, value.m_peers);
   reader.Read("data_folder", Presence::kRequired, {std::nullopt, std::nullopt},
               value.m_data_folder);
+  reader.Read("discovers_peers", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_discovers_peers);
+  reader.Read("announcement_interval_ms", Presence::kOptional, {50, 60000},
+              value.m_announcement_interval);
   reader.Read("join", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_join);
   reader.Read("peer_key_file", Presence::kRequired,
@@ -193,6 +200,8 @@
   PutJson(object, "availability_zone", value.m_availability_zone);
   PutJson(object, "peers", value.m_peers);
   PutJson(object, "data_folder", value.m_data_folder);
+  PutJson(object, "discovers_peers", value.m_discovers_peers);
+  PutJson(object, "announcement_interval_ms", value.m_announcement_interval);
   PutJson(object, "join", value.m_join);
   PutJson(object, "peer_key_file", value.m_peer_key_file);
   PutJson(object, "operator_key_file", value.m_operator_key_file);
--- a/src/membership/registry.cc
+++ b/src/membership/registry.cc
@@ -27,6 +27,19 @@
          std::tie(b.m_incarnation, b.m_sequence);
 }
 
+// A cold time that grows by more means that the instance became cold again.
+constexpr std::chrono::milliseconds kColdAgain{500};
+
+// Whether two announcements of an incarnation differ only in what changes with
+// time by itself.
+bool IsSameButForTime(const Announcement& now, const Announcement& before) {
+  return now.m_state == before.m_state && now.m_endpoint == before.m_endpoint &&
+         now.m_availability_zone == before.m_availability_zone &&
+         now.m_slots == before.m_slots &&
+         now.m_connections == before.m_connections &&
+         now.m_cold_for <= before.m_cold_for + kColdAgain;
+}
+
 // An age beyond this is cut before arithmetic, so that a hostile value cannot
 // overflow a time.
 constexpr std::chrono::milliseconds kMaxAge = std::chrono::hours(24);
@@ -91,7 +104,10 @@
   const bool has_report = announcement.m_in_progress.has_value();
   const bool keeps_report =
       !has_report && known.m_incarnation == announcement.m_incarnation;
-  m_changes.erase(record.m_version);
+  const bool is_refresh = !is_new && IsSameButForTime(announcement, known);
+  const bool keeps_version = is_refresh && !m_limits.m_relays_refreshes;
+  if (!keeps_version)
+    m_changes.erase(record.m_version);
   record = {
       .m_member = {.m_announcement = announcement,
                    .m_sent = sent,
@@ -102,9 +118,10 @@
                                     : announcement.m_in_progress,
                    .m_reported_at =
                        keeps_report ? record.m_member.m_reported_at : sent},
-      .m_version = ++m_version,
+      .m_version = keeps_version ? record.m_version : ++m_version,
       .m_is_present = now < expires};
-  m_changes.emplace(m_version, KeyOf(announcement));
+  if (!keeps_version)
+    m_changes.emplace(m_version, KeyOf(announcement));
   if (announcement.m_state == UpstreamState::kLeaving)
     return was_leaving && !is_new ? MergeOutcome::kRefreshed
                                   : MergeOutcome::kLeft;
--- a/src/membership/registry_limits.h
+++ b/src/membership/registry_limits.h
@@ -13,6 +13,10 @@
   // not remove an instance.
   std::chrono::milliseconds m_lease{2000};
 
+  // Whether an announcement that only renews the lease is a change that peers
+  // get. Where the control hosts say when an instance is gone, it is not.
+  bool m_relays_refreshes = true;
+
   // Time for which an absent instance's (incarnation, sequence) is remembered,
   // so that a message delayed in a frozen peer cannot bring it back.
   std::chrono::milliseconds m_memory{600000};
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -49,6 +49,7 @@
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   bool m_head_request = false;
   bool m_reusable = false;
+  bool m_takes_close_delimited = false;
 };
 
 HttpConnection::HttpConnection(const asio::any_io_executor& executor)
@@ -60,6 +61,10 @@
   m_state->m_stream.close();
 }
 
+void HttpConnection::TakeCloseDelimited() {
+  m_state->m_takes_close_delimited = true;
+}
+
 void HttpConnection::SetDeadline(MonoTime deadline) {
   const auto left = deadline - MonoClock::now();
   m_state->m_stream.expires_after(std::max(left, MonoClock::duration::zero()));
@@ -171,9 +176,9 @@
 asio::awaitable<Result<std::size_t>> HttpConnection::ReadSome(
     std::span<char> buffer) {
   State& state = *m_state;
-  if (state.m_parser->need_eof() && !state.m_parser->is_done()) {
-    // The close of the connection would be the only sign of the end, and a
-    // crash looks the same.
+  if (!state.m_takes_close_delimited && state.m_parser->need_eof() &&
+      !state.m_parser->is_done()) {
+    // The close of the connection would be the only sign of the end.
     co_return MakeError(ErrorCode::kIo,
                         "response body: neither a length nor chunks");
   }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -46,6 +46,10 @@
   asio::awaitable<Status> SendBody(std::string_view data);
   asio::awaitable<Status> EndBody();
 
+  // Takes responses whose end is the orderly close of the connection. Without
+  // this call they are an error, since a crash looks the same.
+  void TakeCloseDelimited();
+
   // Reads the head of the response; informational (1xx) ones are skipped.
   asio::awaitable<Result<ResponseHead>> ReadHead();
   // Reads the next part of the body. 0 means that the whole body arrived; a
--- /dev/null
+++ b/src/net/peer_exchange.cc
@@ -0,0 +1,237 @@
+#include "net/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/hash.h"
+
+namespace jujube::net {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A peer that was silent for longer is gone and answers no look-ups.
+constexpr std::chrono::milliseconds kPeerSilence{2000};
+
+// Announcements reach all hosts over several peers; more connections for each
+// host would cost more than they help.
+constexpr std::size_t kMaxEntryPeers = 16;
+
+}  // namespace
+
+std::vector<Endpoint> EntryPeersOf(const Deployment& deployment,
+                                   const HostId& host) {
+  std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
+  for (const EntryHost& other : deployment.m_entry_hosts) {
+    if (other.m_name != host) {
+      const std::uint64_t rank =
+          MixHash(Hash64(host.m_value), Hash64(other.m_name.m_value));
+      ranked.emplace_back(rank, other.m_peer);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  if (ranked.size() > kMaxEntryPeers)
+    ranked.resize(kMaxEntryPeers);
+  std::vector<Endpoint> endpoints;
+  for (const auto& [rank, endpoint] : ranked)
+    endpoints.push_back(endpoint);
+  return endpoints;
+}
+
+PeerExchange::PeerExchange(asio::io_context& io,
+                           FrameOptions frames,
+                           HostId host,
+                           membership::Registry& registry,
+                           PeerExchangeOptions options)
+    : m_io(io),
+      m_frames(std::move(frames)),
+      m_host(std::move(host)),
+      m_registry(registry),
+      m_options(std::move(options)) {}
+
+void PeerExchange::Start() {
+  asio::co_spawn(m_io, SendLoop(), asio::detached);
+}
+
+void PeerExchange::Stop() {
+  m_is_stopped = true;
+  for (auto& [endpoint, peer] : m_peers)
+    peer.m_client->Stop();
+}
+
+std::unique_ptr<FrameClient> PeerExchange::Connect(const Endpoint& endpoint) {
+  FrameDispatch handlers;
+  handlers.On<RegistryDelta>(
+      [this, endpoint](const FrameSource&, const RegistryDelta& delta) {
+        OnPushed(endpoint, delta);
+      });
+  auto client = std::make_unique<FrameClient>(m_io, m_frames, endpoint,
+                                              std::move(handlers));
+  client->Start();
+  return client;
+}
+
+void PeerExchange::SetPeers(const std::vector<Endpoint>& endpoints) {
+  std::map<Endpoint, Peer> peers;
+  for (const Endpoint& endpoint : endpoints) {
+    const auto known = m_peers.find(endpoint);
+    if (known != m_peers.end()) {
+      peers.emplace(endpoint, std::move(known->second));
+      m_peers.erase(known);
+      continue;
+    }
+    if (peers.contains(endpoint))
+      continue;
+    peers.emplace(endpoint, Peer{.m_client = Connect(endpoint),
+                                 .m_heard = MonoClock::now()});
+  }
+  m_peers = std::move(peers);
+}
+
+void PeerExchange::SetPresence(const EntryPresence& presence) {
+  m_presence = presence;
+}
+
+void PeerExchange::SendNow() {
+  const MonoTime now = MonoClock::now();
+  for (auto& [endpoint, peer] : m_peers)
+    SendTo(peer, now);
+}
+
+void PeerExchange::Relay(const RegistryEntry& entry) {
+  for (auto& [endpoint, peer] : m_peers) {
+    RegistryDelta delta{.m_entries = {entry}};
+    // The cursor of the peer does not move: what it lacks is still sent.
+    delta.m_version = peer.m_cursor;
+    if (peer.m_client->IsConnected())
+      peer.m_client->Send(Frame(std::move(delta), peer));
+  }
+}
+
+void PeerExchange::OnPushed(const Endpoint& endpoint,
+                            const RegistryDelta& delta) {
+  const MonoTime now = MonoClock::now();
+  OnDelta(delta, now);
+  const auto peer = m_peers.find(endpoint);
+  if (peer == m_peers.end())
+    return;
+  peer->second.m_heard = now;
+  if (std::exchange(peer->second.m_merged, delta.m_version) != delta.m_version)
+    SendTo(peer->second, now);
+}
+
+void PeerExchange::OnDelta(const RegistryDelta& delta, MonoTime now) {
+  for (const RegistryEntry& entry : delta.m_entries)
+    m_registry.Merge(entry, now);
+  Heard& heard = m_heard[delta.m_host];
+  if (delta.m_incarnation < heard.m_incarnation)
+    return;
+  const bool is_changed = heard.m_is_leaving != delta.m_leaving;
+  heard.m_incarnation = delta.m_incarnation;
+  heard.m_is_leaving = delta.m_leaving;
+  heard.m_omitted = {delta.m_omitted.begin(), delta.m_omitted.end()};
+  heard.m_at = now;
+  if (is_changed && m_options.m_on_leaving)
+    m_options.m_on_leaving();
+  if (m_options.m_on_delta)
+    m_options.m_on_delta(delta);
+}
+
+void PeerExchange::SetLeaving() {
+  m_is_leaving = true;
+  if (m_options.m_on_leaving)
+    m_options.m_on_leaving();
+  SendNow();
+}
+
+bool PeerExchange::IsOmittedEverywhere(MonoTime now) const {
+  return std::all_of(m_heard.begin(), m_heard.end(), [&](const auto& line) {
+    const Heard& heard = line.second;
+    return now - heard.m_at > kPeerSilence || heard.m_omitted.contains(m_host);
+  });
+}
+
+std::vector<HostId> PeerExchange::LeavingHosts() const {
+  std::vector<HostId> hosts;
+  for (const auto& [host, heard] : m_heard) {
+    if (heard.m_is_leaving)
+      hosts.push_back(host);
+  }
+  if (m_is_leaving)
+    hosts.push_back(m_host);
+  return hosts;
+}
+
+std::size_t PeerExchange::Connected() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_peers.begin(), m_peers.end(),
+      [](const auto& line) { return line.second.m_client->IsConnected(); }));
+}
+
+asio::awaitable<void> PeerExchange::SendLoop() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    const MonoTime now = MonoClock::now();
+    for (auto& [endpoint, peer] : m_peers) {
+      ReopenIfSilent(endpoint, peer, now);
+      SendTo(peer, now);
+    }
+    timer.expires_after(m_options.m_interval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+// A connection may go silent without a reset while new ones work.
+void PeerExchange::ReopenIfSilent(const Endpoint& endpoint,
+                                  Peer& peer,
+                                  MonoTime now) {
+  if (!peer.m_client->IsConnected()) {
+    peer.m_heard = now;
+    return;
+  }
+  if (m_options.m_silence.count() == 0 ||
+      now - peer.m_heard < m_options.m_silence)
+    return;
+  peer = {.m_client = Connect(endpoint), .m_heard = now};
+}
+
+RegistryDelta PeerExchange::Frame(RegistryDelta delta, const Peer& peer) const {
+  delta.m_host = m_host;
+  delta.m_incarnation = m_frames.m_incarnation;
+  delta.m_leaving = m_is_leaving;
+  delta.m_merged = peer.m_merged;
+  delta.m_presence = m_presence;
+  delta.m_omitted = LeavingHosts();
+  return delta;
+}
+
+void PeerExchange::SendTo(Peer& peer, MonoTime now) {
+  if (!peer.m_client->IsConnected())
+    return;
+  // A restarted peer has lost what it was sent.
+  const std::uint64_t incarnation = peer.m_client->PeerIncarnation();
+  if (std::exchange(peer.m_connection, incarnation) != incarnation) {
+    peer.m_cursor = 0;
+    peer.m_merged = 0;
+    peer.m_has_all = false;
+  }
+  if (peer.m_has_all && !m_options.m_sends_changes)
+    peer.m_cursor = m_registry.Version();
+  membership::DeltaPage page =
+      m_registry.DeltaSince(peer.m_cursor, m_host, m_frames.m_incarnation, now);
+  page.m_delta.m_version = page.m_upto;
+  const bool is_complete = page.m_is_complete;
+  if (!peer.m_client->Send(Frame(std::move(page.m_delta), peer)))
+    return;
+  peer.m_cursor = page.m_upto;
+  peer.m_has_all |= is_complete;
+}
+
+}  // namespace jujube::net
--- a/src/steering/candidate.h
+++ b/src/steering/candidate.h
@@ -15,6 +15,9 @@
   Tier m_tier = Tier::kRemote;           // distance from this host
   std::uint32_t m_in_progress = 0;       // requests of this host, below m_limit
   std::uint32_t m_limit = 0;             // slots usable now, after the ramp
+  std::uint32_t m_slots = 0;             // that the instance has
+  std::uint32_t m_others = 0;            // requests of other hosts, if known
+  std::uint64_t m_affinity = 0;          // rank for the object; 0: no object
   std::uint32_t m_use_permille = 0;      // EstimateUse
   std::uint32_t m_ramp_permille = 1000;  // 1000: warm
   std::uint32_t m_failure_permille = 0;  // recent failures
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "core/hash.h"
 #include "steering/load_estimate.h"
 
 namespace jujube::steering {
@@ -56,7 +57,22 @@
          context.m_now >= seen.m_ejected_until &&
          !Contains(context.m_tried,
                    upstream.m_member.m_announcement.m_instance) &&
-         !Contains(context.m_closed, upstream.m_region);
+         !Contains(context.m_closed, upstream.m_region) &&
+         (context.m_allowed.empty() ||
+          Contains(context.m_allowed, upstream.m_region));
+}
+
+// Requests of other hosts, by the last response of the instance. A request
+// takes about a second, so an older report says nothing about the present.
+constexpr std::chrono::milliseconds kOthersMemory{700};
+
+std::uint32_t OthersOf(const Observation& seen, MonoTime now) {
+  return now - seen.m_others_at < kOthersMemory ? seen.m_others : 0;
+}
+
+// 0 is reserved for requests without an object.
+std::uint64_t AffinityOf(const Upstream& upstream, std::uint64_t object) {
+  return object == 0 ? 0 : MixHash(object, upstream.m_hash) | 1U;
 }
 
 std::uint32_t UseOf(const Upstream& upstream,
@@ -92,6 +108,9 @@
                    .m_tier = upstream.m_tier,
                    .m_in_progress = seen.m_in_progress,
                    .m_limit = UsableSlots(upstream.m_grant, context.m_now),
+                   .m_slots = upstream.m_member.m_announcement.m_slots,
+                   .m_others = OthersOf(seen, context.m_now),
+                   .m_affinity = AffinityOf(upstream, context.m_object),
                    .m_use_permille = UseOf(upstream, seen, context.m_now),
                    .m_ramp_permille = static_cast<std::uint32_t>(warmth),
                    .m_failure_permille = seen.m_failure_permille,
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -40,6 +40,12 @@
   m_last_outcome.store(now, std::memory_order_relaxed);
 }
 
+void InstanceCounters::ReportLoad(std::uint32_t total, MonoTime now) {
+  const std::uint32_t own = m_in_progress.load(std::memory_order_relaxed);
+  m_others.store(total > own ? total - own : 0, std::memory_order_relaxed);
+  m_others_at.store(now, std::memory_order_relaxed);
+}
+
 Observation InstanceCounters::Observe() const {
   Observation seen{
       .m_in_progress = m_in_progress.load(std::memory_order_relaxed),
@@ -51,6 +57,8 @@
       .m_outcomes = m_outcomes.load(std::memory_order_relaxed),
       .m_last_outcome = m_last_outcome.load(std::memory_order_relaxed),
       .m_ejected_until = m_ejected_until.load(std::memory_order_acquire),
+      .m_others = m_others.load(std::memory_order_relaxed),
+      .m_others_at = m_others_at.load(std::memory_order_relaxed),
       .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed)};
   if (const auto latency = m_latency_ns.Value())
     seen.m_latency = std::chrono::nanoseconds(*latency);
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -29,6 +29,9 @@
   // instance look fast.
   void Record(Outcome outcome, std::chrono::nanoseconds latency, MonoTime now);
 
+  // A response stated how many requests the instance has, this host's included.
+  void ReportLoad(std::uint32_t total, MonoTime now);
+
   // The fields are read one by one and may belong to different instants.
   Observation Observe() const;
 
@@ -43,6 +46,8 @@
   std::atomic<std::uint32_t> m_failures_in_row = 0;
   std::atomic<std::uint32_t> m_outcomes = 0;
   std::atomic<std::uint32_t> m_ejection_count = 0;
+  std::atomic<std::uint32_t> m_others = 0;
+  std::atomic<MonoTime> m_others_at{MonoTime{}};
   std::atomic<MonoTime> m_last_outcome{MonoTime{}};
   std::atomic<MonoTime> m_ejected_until{MonoTime{}};
   AtomicAverage m_latency_ns;
--- a/src/steering/observation.h
+++ b/src/steering/observation.h
@@ -27,7 +27,9 @@
   std::uint32_t m_outcomes = 0;                       // since the last ejection
   MonoTime m_last_outcome;                            // epoch: none yet
   MonoTime m_ejected_until;                           // epoch: never ejected
-  std::uint32_t m_ejection_count = 0;                 // lengthens the backoff
+  std::uint32_t m_others = 0;          // requests of other hosts, by its report
+  MonoTime m_others_at;                // time of that report; epoch: none
+  std::uint32_t m_ejection_count = 0;  // lengthens the backoff
 
   friend auto operator<=>(const Observation&, const Observation&) = default;
 };
--- a/src/steering/retry_decision.cc
+++ b/src/steering/retry_decision.cc
@@ -34,7 +34,7 @@
     return RetryAnswer::kMayHaveRun;
   if (facts.m_is_forwarded)
     return RetryAnswer::kOtherLayer;
-  if (facts.m_attempts >= kMaxAttempts)
+  if (facts.m_attempts >= facts.m_max_attempts)
     return RetryAnswer::kAttemptsSpent;
   if (facts.m_remaining <= facts.m_expected)
     return RetryAnswer::kDeadline;
--- a/src/steering/retry_decision.h
+++ b/src/steering/retry_decision.h
@@ -25,11 +25,16 @@
 
 namespace jujube::steering {
 
+// The first one and two more: after three failed instances the fault is rarely
+// one of the instances.
+inline constexpr std::uint32_t kMaxAttempts = 3;
+
 struct RetryFacts {
   Verdict m_verdict = Verdict::kMayHaveRun;  // of all attempts so far
   bool m_is_repeatable = false;              // IsRepeatable of the method
   bool m_is_forwarded = false;   // arrived through another entry host
   std::uint32_t m_attempts = 1;  // made so far
+  std::uint32_t m_max_attempts = kMaxAttempts;
   std::chrono::nanoseconds m_remaining{0};  // until the deadline
   std::chrono::nanoseconds m_expected{0};   // usual latency of the service
 
@@ -40,7 +45,7 @@
   kRetry,          // a token of the budget was taken
   kMayHaveRun,     // a non-repeatable request may have run
   kOtherLayer,     // the entry host that forwarded it decides
-  kAttemptsSpent,  // kMaxAttempts were made
+  kAttemptsSpent,  // m_max_attempts were made
   kDeadline,       // the rest of the time is too short
   kBudgetSpent,    // too many retries of the service
 };
@@ -48,10 +53,6 @@
 // Label of the metric jujube_retries_denied_total.
 std::string_view ToString(RetryAnswer answer);
 
-// The first one and two more: after three failed instances the fault is rarely
-// one of the instances.
-inline constexpr std::uint32_t kMaxAttempts = 3;
-
 // Whether the service allows requests of the method to run twice.
 bool IsRepeatable(const Service& service, std::string_view method);
 
--- a/src/steering/selection_context.h
+++ b/src/steering/selection_context.h
@@ -15,6 +15,8 @@
   Weights m_weights;                    // UpstreamView::m_weights
   std::span<const InstanceId> m_tried;  // by earlier attempts of the request
   std::span<const RegionId> m_closed;   // regions whose cap is taken
+  std::span<const RegionId> m_allowed;  // regions that may serve; empty: all
+  std::uint64_t m_object = 0;           // hash of the object; 0: none
 };
 
 }  // namespace jujube::steering
--- a/src/steering/upstream.h
+++ b/src/steering/upstream.h
@@ -22,6 +22,7 @@
   Tier m_tier = Tier::kRemote;        // distance
   std::chrono::milliseconds m_delay;  // one way
   SlotGrant m_grant;                  // slots that this host may use
+  std::uint64_t m_hash = 0;           // of its name, for rendezvous hashing
   bool m_is_draining = false;         // itself, its zone or its region
   std::shared_ptr<InstanceCounters> m_counters;  // never null
 
--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/hash.h"
+
 namespace jujube::steering {
 namespace {
 
@@ -74,6 +76,7 @@
           .m_tier = is_same_zone ? Tier::kZone : remote,
           .m_delay = is_same_zone ? std::chrono::milliseconds(0) : distance,
           .m_grant = GrantOf(inputs, announcement),
+          .m_hash = Hash64(announcement.m_instance.m_value),
           .m_is_draining = IsDraining(inputs.m_drains, announcement, region),
           .m_counters = counters.Of(membership::KeyOf(announcement),
                                     announcement.m_incarnation)};
--- a/tests/unit/catalogue_test.cc
+++ b/tests/unit/catalogue_test.cc
@@ -23,15 +23,20 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
-// All hand-written sources, one after the other.
+// All hand-written sources, one after the other. The definitions of templates
+// stand in headers named *_impl.h.
 std::string Sources() {
   std::string text;
-  for (const auto& entry :
-       fs::recursive_directory_iterator(fs::path(JUJUBE_SOURCE_DIR) / "src")) {
-    const fs::path& path = entry.path();
-    const bool is_generated = path.parent_path().filename() == "gen";
-    if (entry.is_regular_file() && path.extension() == ".cc" && !is_generated)
-      text += ReadText(path);
+  for (const char* folder : {"src", "platform"}) {
+    for (const auto& entry : fs::recursive_directory_iterator(
+             fs::path(JUJUBE_SOURCE_DIR) / folder)) {
+      const fs::path& path = entry.path();
+      const bool is_generated = path.parent_path().filename() == "gen";
+      const bool is_source = path.extension() == ".cc" ||
+                             path.filename().string().ends_with("_impl.h");
+      if (entry.is_regular_file() && is_source && !is_generated)
+        text += ReadText(path);
+    }
   }
   return text;
 }
