Place objects within bounded load, and ramp cold instances over all hosts

A request that left a full instance met one that did not know its object, ran three times as long and drove out an object that another request needed.

Ruled out: too few slots (warm work fits into them), processor time of the entry hosts (0.03 of 0.2 cores).

Change: an instance may hold twice its slots, the first three instances of an object's order are tried, then the request is refused at once with a spread Retry-After. The rate of a cold instance is divided over the entry hosts, by owners where it is below one request a second a host. A repeatable request that an upstream answered with an error is tried at another one.

--- a/src/controld/fleet.cc
+++ b/src/controld/fleet.cc
@@ -216,6 +216,8 @@
   page.m_delta.m_merged = subscriber.m_seen;
   page.m_delta.m_omitted = LeavingEntryHosts();
   page.m_delta.m_control_hosts = m_control_hosts;
+  for (const auto& [host, known] : m_subscribers)
+    page.m_delta.m_entry_hosts.push_back(host);
   if (connection->Send(page.m_delta))
     subscriber.m_cursor = page.m_upto;
 }
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -42,6 +42,7 @@
   std::string m_error;                               // detail of the failure
   bool m_is_head_forwarded = false;  // the caller has a part of the response
   std::optional<StoredAnswer> m_answer;  // buffered response, not sent yet
+  bool m_is_other_instance = false;      // another instance has the address
   std::optional<std::uint32_t> m_reported_requests;  // at the instance
 };
 
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -17,6 +17,7 @@
 namespace attempt_internal {
 
 inline constexpr std::size_t kPartBytes = 16384;
+inline constexpr std::uint16_t kMisdirected = 421;
 inline bool FailedByDeadline(const Error& error) {
   return error.m_code == ErrorCode::kTimeout;
 }
@@ -230,6 +231,8 @@
   }
   if (not_started) {
     // The refusal stands even if its body was cut.
+    m_result.m_is_other_instance =
+        head.m_status == attempt_internal::kMisdirected;
     m_result.m_failure = Failure::kNotStarted;
     m_result.m_error = "the upstream did not start the request";
     co_return;
--- a/src/entry/dialect.h
+++ b/src/entry/dialect.h
@@ -13,8 +13,8 @@
 //   UpstreamHead           head of the request for an upstream
 //   SaysNotStarted         the upstream states that it did not run the request
 //   IsResponseTo           the response belongs to the request
-//   ReportedRequests       requests at the instance, if the response states them
-//   EndToEnd               header fields that go to the caller
+//   ReportedRequests       requests at the instance, if the response states
+//   them EndToEnd               header fields that go to the caller
 //   RefusalHead, RefusalText
 //                          a response of the entry host itself
 
@@ -49,12 +49,12 @@
   { D::Parse(request, view) } -> std::same_as<Result<Route>>;
   {
     D::UpstreamHead(request, route, left, std::string_view(), selection)
-  } -> std::same_as<RequestHead>;
+    } -> std::same_as<RequestHead>;
   { D::SaysNotStarted(response) } -> std::same_as<bool>;
   { D::IsResponseTo(response, route) } -> std::same_as<bool>;
   {
     D::ReportedRequests(response)
-  } -> std::same_as<std::optional<std::uint32_t>>;
+    } -> std::same_as<std::optional<std::uint32_t>>;
   { D::EndToEnd(response.m_headers) } -> std::same_as<std::vector<Header>>;
   { D::RefusalHead(refusal) } -> std::same_as<ResponseHead>;
   { D::RefusalText(refusal) } -> std::same_as<std::string>;
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -13,6 +13,7 @@
 #include "limits/topology.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
+#include "steering/affinity_policy.h"
 #include "steering/candidate_collector.h"
 #include "steering/outlier_ejector.h"
 #include "steering/shift_state.h"
@@ -127,7 +128,10 @@
 // joined, because one that is cut off may know less.
 void EntryControl::OnPeerDelta(const RegistryDelta& delta) {
   const MonoTime now = MonoClock::now();
-  MarkDirty();
+  if (!delta.m_entry_hosts.empty() && delta.m_entry_hosts != m_entry_hosts) {
+    m_entry_hosts = delta.m_entry_hosts;
+    MarkDirty();
+  }
   if (delta.m_control_hosts.empty())
     return;
   m_control_lists[delta.m_host] = {.m_hosts = delta.m_control_hosts,
@@ -156,11 +160,11 @@
 
 net::FeedClientOptions EntryControl::FeedOptions() const {
   const EntrySettings& settings = m_shared.m_settings;
-  net::FeedClientOptions options{
-      .m_frames = m_frames,
-      .m_host = settings.m_host,
-      .m_parents = settings.m_feed_parents.empty() ? settings.m_control
-                                                   : settings.m_feed_parents};
+  net::FeedClientOptions options{.m_frames = m_frames,
+                                 .m_host = settings.m_host,
+                                 .m_parents = settings.m_feed_parents.empty()
+                                                  ? settings.m_control
+                                                  : settings.m_feed_parents};
   if (settings.m_discovers_control) {
     // The feed comes straight from the control hosts, so a silent or cut off
     // one is left early.
@@ -240,8 +244,8 @@
 void EntryControl::UseState(std::shared_ptr<const FeedState> state) {
   m_state = std::move(state);
   if (!m_shared.m_settings.m_discovers_control) {
-    m_peers.SetPeers(net::EntryPeersOf(m_state->m_deployment,
-                                       m_shared.m_settings.m_host));
+    m_peers.SetPeers(
+        net::EntryPeersOf(m_state->m_deployment, m_shared.m_settings.m_host));
   }
   m_routes = std::make_shared<const steering::RouteTable>(
       m_state->m_deployment.m_routes);
@@ -309,6 +313,11 @@
       .m_deployment = m_state->m_deployment,
       .m_drains = drains,
       .m_zone = m_shared.m_settings.m_availability_zone,
+      .m_host = m_shared.m_settings.m_host,
+      .m_entry_hosts = m_entry_hosts,
+      .m_queue_factor = m_shared.m_settings.m_discovers_control
+                            ? steering::AffinityPolicy::kQueueFactor
+                            : 1,
       .m_grants = HasAllotments() ? std::optional(m_grants) : std::nullopt};
   m_upstreams = std::make_shared<const steering::UpstreamView>(
       steering::BuildView(inputs, m_counters));
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -118,6 +118,7 @@
     MonoTime m_at;
   };
   std::map<HostId, ControlList> m_control_lists;  // by control host
+  std::vector<HostId> m_entry_hosts;  // that may be sending requests
   std::atomic<bool> m_is_ready = false;
   bool m_is_dirty = true;
   bool m_is_stopped = false;
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -47,7 +47,7 @@
 
   // Sends the refusal and logs it; `request` may be null before it is parsed.
   boost::asio::awaitable<void> Refuse(net::HttpExchange& exchange,
-                                      const Route* route,
+                                      const Request* request,
                                       Refusal refusal);
   void LogAttempt(const Request& request,
                   const AttemptResult& result,
@@ -69,6 +69,10 @@
   void NoteRefusedDemand(const ServingView& view,
                          const steering::ServiceUpstreams& service);
   bool MayRetry(Request& request, const AttemptResult& result);
+  // The upstream answered a repeatable request with an error; another one may
+  // do better.
+  bool MayRetryError(Request& request, const AttemptResult& result);
+  bool TakeRetry(Request& request);
   boost::asio::awaitable<void> RespondWithAnswer(net::HttpExchange& exchange,
                                                  Request& request,
                                                  AttemptResult result);
@@ -87,6 +91,7 @@
   Tracer m_tracer;
   RequestMetrics m_metrics;
   std::size_t m_next_refusal = 0;
+  steering::FastRandom m_random;
   steering::Selector<P> m_selector;
 };
 
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -32,6 +32,7 @@
 // a part of its body was taken from the caller.
 inline constexpr std::size_t kMaxBufferedBody = 65536;
 
+inline constexpr std::uint16_t kFirstServerError = 500;
 inline constexpr std::uint16_t kUnavailable = 503;
 // Slots come free and configurations arrive within about a second.
 inline constexpr std::chrono::milliseconds kRetryAfter{1000};
@@ -54,7 +55,8 @@
     return is_error ? steering::Outcome::kFailure : steering::Outcome::kSuccess;
   }
   if (*result.m_failure == request::AttemptFailure::kNotStarted)
-    return steering::Outcome::kShed;
+    return result.m_is_other_instance ? steering::Outcome::kFailure
+                                      : steering::Outcome::kShed;
   const request::FailureDecision decision = request::Decide(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
   if (decision.m_counts_as_failure)
@@ -129,6 +131,8 @@
   Verdict m_verdict = Verdict::kNotRun;  // of all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
+  // Error response of an upstream, returned if no other attempt does better.
+  std::optional<AttemptResult> m_fallback;
   SpanScope m_span;  // of the request at this host
 
   // Verdict of a refusal before the store of claims was asked. An earlier
@@ -150,6 +154,7 @@
       m_claims(claims),
       m_pool(executor, shared.m_settings.m_pool_per_instance),
       m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
+      m_random(seed + 1),
       m_selector(seed) {}
 
 template <Dialect D, steering::SelectionPolicy P>
@@ -179,7 +184,7 @@
   if (refusal) {
     request.m_verdict = refusal->m_verdict;
     Count(request);
-    co_await Refuse(exchange, &request.m_route, *refusal);
+    co_await Refuse(exchange, &request, *refusal);
     co_return;
   }
   m_shared.m_in_progress.fetch_add(1, std::memory_order_relaxed);
@@ -188,7 +193,7 @@
     const std::optional<Refusal> bad_body =
         co_await ReadBody(exchange, request);
     if (bad_body)
-      co_await Refuse(exchange, &request.m_route, *bad_body);
+      co_await Refuse(exchange, &request, *bad_body);
     else if (!D::kHasClaims || request.m_is_repeatable ||
              co_await Claim(exchange, request))
       co_await Carry(exchange, request);
@@ -227,8 +232,14 @@
 
 template <Dialect D, steering::SelectionPolicy P>
 asio::awaitable<void> Forwarder<D, P>::Refuse(net::HttpExchange& exchange,
-                                              const Route* route,
+                                              const Request* request,
                                               Refusal refusal) {
+  const Route* route = request != nullptr ? &request->m_route : nullptr;
+  if (route != nullptr && route->m_time_limit &&
+      refusal.m_retry_after > std::chrono::milliseconds::zero()) {
+    refusal.m_retry_after = steering::SpreadRetryAfter(
+        request::Remaining(request->m_deadline, MonoClock::now()), m_random());
+  }
   observe::Log(LogEvent::kRequestRefused,
                {{"request", route != nullptr ? route->m_id : std::string()},
                 {"route", route != nullptr ? route->m_name : std::string()},
@@ -387,7 +398,7 @@
       request.UnclaimedVerdict());
   request.m_verdict = refusal.m_verdict;
   m_metrics.Refused(RefusalCause::kClaim);
-  co_await Refuse(exchange, &request.m_route, refusal);
+  co_await Refuse(exchange, &request, refusal);
   co_return false;
 }
 
@@ -419,6 +430,11 @@
     if (!selection) {
       attempt.Fail();
       attempt.End();
+      if (request.m_fallback) {
+        co_await RespondWithAnswer(exchange, request,
+                                   *std::move(request.m_fallback));
+        co_return;
+      }
       co_await RespondWithoutUpstream(exchange, request);
       co_return;
     }
@@ -437,12 +453,24 @@
       attempt.Fail();
     }
     attempt.End();
+    if (!result.m_failure && MayRetryError(request, result)) {
+      request.m_fallback = std::move(result);
+      continue;
+    }
     if (!result.m_failure) {
       co_await RespondWithAnswer(exchange, request, std::move(result));
       co_return;
     }
     const bool is_retried = MayRetry(request, result);
     LogAttempt(request, result, is_retried);
+    const bool is_caller_there =
+        *result.m_failure != request::AttemptFailure::kCallerGone;
+    if (!is_retried && request.m_fallback && is_caller_there &&
+        !result.m_is_head_forwarded) {
+      co_await RespondWithAnswer(exchange, request,
+                                 *std::move(request.m_fallback));
+      co_return;
+    }
     if (!is_retried) {
       co_await RespondToFailure(exchange, request, result);
       co_return;
@@ -547,6 +575,23 @@
       result.m_attempt.m_state != request::AttemptState::kWaiting;
   if (!decision.m_may_retry || is_body_lost)
     return false;
+  return TakeRetry(request);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::MayRetryError(Request& request,
+                                    const AttemptResult& result) {
+  const bool is_error =
+      result.m_answer &&
+      result.m_answer->m_status >= forwarder_internal::kFirstServerError;
+  // A streamed body is gone, and without a rule the caller decides.
+  return is_error && request.m_is_repeatable &&
+         request.m_route.m_is_repeatable &&
+         !request.m_outgoing.m_streams_rest && TakeRetry(request);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::TakeRetry(Request& request) {
   const steering::RetryAnswer answer = steering::DecideRetry(
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
@@ -586,7 +631,7 @@
                         .m_verdict = request.m_verdict,
                         .m_reason = "no instance has a free slot",
                         .m_retry_after = std::chrono::seconds(1)};
-  co_await Refuse(exchange, &request.m_route, refusal);
+  co_await Refuse(exchange, &request, refusal);
 }
 
 template <Dialect D, steering::SelectionPolicy P>
@@ -605,7 +650,7 @@
       .m_status = forwarder_internal::StatusOf(decision.m_answer),
       .m_verdict = request.m_verdict,
       .m_reason = result.m_error};
-  co_await Refuse(exchange, &request.m_route, refusal);
+  co_await Refuse(exchange, &request, refusal);
 }
 
 }  // namespace jujube::entry
--- a/src/entry/native_dialect.h
+++ b/src/entry/native_dialect.h
@@ -1,4 +1,5 @@
-// NativeDialect: the header fields of jujubelift's own interface, docs/requests.md.
+// NativeDialect: the header fields of jujubelift's own interface,
+// docs/requests.md.
 
 #pragma once
 
--- a/src/entry/operator_handler.cc
+++ b/src/entry/operator_handler.cc
@@ -36,8 +36,8 @@
   }
   if (path == "/ready") {
     const bool is_ready = m_is_ready();
-    ResponseHead ready{.m_status = static_cast<std::uint16_t>(
-                           is_ready ? 200 : 503)};
+    ResponseHead ready{.m_status =
+                           static_cast<std::uint16_t>(is_ready ? 200 : 503)};
     co_await exchange.Respond(std::move(ready),
                               is_ready ? "ready\n" : "not ready\n");
     co_return;
--- a/src/entry/route.h
+++ b/src/entry/route.h
@@ -21,8 +21,8 @@
   ServiceId m_service;   // that gets the request
   std::string m_target;  // for the upstream: path and query
   std::optional<std::chrono::milliseconds> m_stated_deadline;
-  std::string m_key;   // Idempotency-Key; empty if absent
-  std::string m_id;    // of the request, for logs and the upstream; may be empty
+  std::string m_key;  // Idempotency-Key; empty if absent
+  std::string m_id;   // of the request, for logs and the upstream; may be empty
   std::string m_name;  // of the rule; empty: chosen by the service alone
 
   // From the rule. Absent: the policy of the service counts.
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -22,7 +22,7 @@
   RegionId m_region;                              // of this host
   std::shared_ptr<const lookup::Table> m_lookup;  // never null
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
-  std::shared_ptr<const steering::RouteTable> m_routes;  // never null
+  std::shared_ptr<const steering::RouteTable> m_routes;       // never null
   std::shared_ptr<const limits::LimitTable> m_limits;  // null: none enforced
   std::uint32_t m_host_cap = 0;  // slots of all services that this host may use
   bool m_is_refusing = false;    // planned stop: new requests are refused
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -87,6 +87,9 @@
   std::vector<Endpoint>
       m_control_hosts;  // from a control host: peer listeners of all control
                         // hosts that it knows (at most 64 elements)
+  std::vector<HostId>
+      m_entry_hosts;  // from a control host: entry hosts that may be sending
+                      // requests (at most 2048 elements)
   std::vector<HostId> m_omitted;  // entry hosts that the sender leaves out of
                                   // look-ups (at most 2048 elements)
   std::vector<RegistryEntry>
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -17,6 +17,7 @@
   MonoTime m_sent;              // receipt minus the age that the relay stated
   MonoTime m_expires;           // no new work from this time on
   MonoTime m_serving_since;     // sent minus the announced uptime
+  MonoTime m_cold_until;        // sent plus the announced cold time
 
   // Newest load report of the incarnation. It outlives announcements without
   // one, and its age then grows.
--- a/src/membership/registry.cc
+++ b/src/membership/registry.cc
@@ -113,6 +113,7 @@
                    .m_sent = sent,
                    .m_expires = expires,
                    .m_serving_since = sent - BoundedAge(announcement.m_uptime),
+                   .m_cold_until = sent + BoundedAge(announcement.m_cold_for),
                    .m_reported_in_progress =
                        keeps_report ? record.m_member.m_reported_in_progress
                                     : announcement.m_in_progress,
--- a/src/steering/admission.cc
+++ b/src/steering/admission.cc
@@ -36,6 +36,22 @@
   return AdmissionAnswer::kAdmitted;
 }
 
+std::chrono::milliseconds SpreadRetryAfter(std::chrono::nanoseconds left,
+                                           std::uint64_t draw) {
+  // Callers follow up to a third of the time that they have left.
+  constexpr std::int64_t kPart = 3;
+  // Slots come free within about a second.
+  constexpr std::chrono::milliseconds kLongest{1000};
+  constexpr std::int64_t kLeast = 50;  // ms
+  const auto most = std::min(
+      kLongest,
+      std::chrono::duration_cast<std::chrono::milliseconds>(left / kPart));
+  const std::int64_t half = most.count() / 2;
+  const auto spread =
+      static_cast<std::int64_t>(draw % static_cast<std::uint64_t>(half + 1));
+  return std::chrono::milliseconds(std::max(kLeast, half + spread));
+}
+
 std::chrono::seconds RetryAfter(AdmissionAnswer refusal) {
   // Leases and grants change once a second.
   const bool is_load = refusal == AdmissionAnswer::kSlotsTaken ||
--- a/src/steering/admission.h
+++ b/src/steering/admission.h
@@ -54,6 +54,12 @@
 }
 
 // When a caller may ask this host again; zero: at once, at another host.
+// When a caller whose rule has a time limit should come back: well within the
+// time that it has left, and spread, so that callers who were refused together
+// do not return together. `draw` is uniform over all values.
+std::chrono::milliseconds SpreadRetryAfter(std::chrono::nanoseconds left,
+                                           std::uint64_t draw);
+
 std::chrono::seconds RetryAfter(AdmissionAnswer refusal);
 
 }  // namespace jujube::steering
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -17,6 +17,9 @@
 
 constexpr std::int64_t kUnknownLatency = -1;
 
+// An instance that failed may have restarted without saying so yet.
+constexpr std::chrono::seconds kColdAfterEjection{3};
+
 // Progress of the slow start, in permille.
 std::int64_t WarmthOf(const Upstream& upstream,
                       const Observation& seen,
@@ -50,6 +53,18 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
+// Just started, or back after a failure that may have been a restart.
+bool IsCold(const Upstream& upstream, const Observation& seen, MonoTime now) {
+  return now < upstream.m_member.m_cold_until ||
+         (seen.m_ejection_count > 0 &&
+          now - seen.m_ejected_until < kColdAfterEjection);
+}
+
+bool MayStartCold(const Upstream& upstream, MonoTime now) {
+  return upstream.m_cold_spacing &&
+         upstream.m_counters->MayStartCold(now, *upstream.m_cold_spacing);
+}
+
 bool IsAvailable(const Upstream& upstream,
                  const Observation& seen,
                  const SelectionContext& context) {
@@ -100,6 +115,11 @@
     const Observation seen = upstream.m_counters->Observe();
     if (!IsAvailable(upstream, seen, context))
       continue;
+    const bool is_cold =
+        upstream.m_cold_spacing != std::chrono::nanoseconds(0) &&
+        IsCold(upstream, seen, context.m_now);
+    if (is_cold && !MayStartCold(upstream, context.m_now))
+      continue;
     const auto service_time = ServiceTimeUs(upstream, seen, context.m_now);
     const std::int64_t warmth =
         WarmthOf(upstream, seen, service.m_service.m_slow_start, context.m_now);
@@ -111,6 +131,7 @@
                    .m_slots = upstream.m_member.m_announcement.m_slots,
                    .m_others = OthersOf(seen, context.m_now),
                    .m_affinity = AffinityOf(upstream, context.m_object),
+                   .m_is_cold = is_cold,
                    .m_use_permille = UseOf(upstream, seen, context.m_now),
                    .m_ramp_permille = static_cast<std::uint32_t>(warmth),
                    .m_failure_permille = seen.m_failure_permille,
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -19,6 +19,16 @@
   return false;
 }
 
+bool InstanceCounters::TryStartCold(MonoTime now,
+                                    std::chrono::nanoseconds spacing) {
+  MonoTime last = m_last_cold_start.load(std::memory_order_relaxed);
+  if (now - last < spacing)
+    return false;
+  // Another thread that was faster has taken the turn.
+  return m_last_cold_start.compare_exchange_strong(last, now,
+                                                   std::memory_order_acq_rel);
+}
+
 void InstanceCounters::Release() {
   [[maybe_unused]] const std::uint32_t before =
       m_in_progress.fetch_sub(1, std::memory_order_acq_rel);
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -25,6 +25,13 @@
   // Precondition: a successful TryAcquire of the caller.
   void Release();
 
+  // Starts a request to a cold instance if `spacing` has passed since the last
+  // one.
+  bool TryStartCold(MonoTime now, std::chrono::nanoseconds spacing);
+  bool MayStartCold(MonoTime now, std::chrono::nanoseconds spacing) const {
+    return now - m_last_cold_start.load(std::memory_order_relaxed) >= spacing;
+  }
+
   // `latency` counts for successes only: a fast refusal must not make an
   // instance look fast.
   void Record(Outcome outcome, std::chrono::nanoseconds latency, MonoTime now);
@@ -46,6 +53,7 @@
   std::atomic<std::uint32_t> m_failures_in_row = 0;
   std::atomic<std::uint32_t> m_outcomes = 0;
   std::atomic<std::uint32_t> m_ejection_count = 0;
+  std::atomic<MonoTime> m_last_cold_start{MonoTime{}};
   std::atomic<std::uint32_t> m_others = 0;
   std::atomic<MonoTime> m_others_at{MonoTime{}};
   std::atomic<MonoTime> m_last_outcome{MonoTime{}};
--- a/src/steering/selection_policy.h
+++ b/src/steering/selection_policy.h
@@ -1,7 +1,8 @@
 // SelectionPolicy: the concept that chooses among candidates.
 //
 // A policy is owned by one worker thread and may keep state. Pick gets at least
-// one candidate and returns a position in the span. Implementations:
+// one candidate and returns a position in the span, or its size if none of them
+// should get the request. Implementations:
 //
 //   RandomPolicy             any candidate
 //   RoundRobinPolicy         one after the other
--- a/src/steering/selector.h
+++ b/src/steering/selector.h
@@ -40,9 +40,11 @@
     while (!m_candidates.empty()) {
       const std::size_t position =
           m_policy.Pick(m_candidates, context.m_weights, m_random);
+      if (position >= m_candidates.size())
+        return std::nullopt;
       const Candidate candidate = m_candidates[position];
       const Upstream& upstream = service.m_upstreams[candidate.m_index];
-      if (upstream.m_counters->TryAcquire(candidate.m_limit))
+      if (TryStart(upstream, candidate, context.m_now))
         return MakeSelection(upstream);
       // Another thread took the last slot since the candidates were collected.
       m_candidates.erase(m_candidates.begin() +
@@ -52,6 +54,18 @@
   }
 
  private:
+  static bool TryStart(const Upstream& upstream,
+                       const Candidate& candidate,
+                       MonoTime now) {
+    if (!upstream.m_counters->TryAcquire(candidate.m_limit))
+      return false;
+    if (!candidate.m_is_cold || !upstream.m_cold_spacing ||
+        upstream.m_counters->TryStartCold(now, *upstream.m_cold_spacing))
+      return true;
+    upstream.m_counters->Release();
+    return false;
+  }
+
   static Selection MakeSelection(const Upstream& upstream) {
     const Announcement& announcement = upstream.m_member.m_announcement;
     return {.m_instance = announcement.m_instance,
--- a/src/steering/upstream.h
+++ b/src/steering/upstream.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "membership/member.h"
 #include "steering/instance_counters.h"
@@ -23,7 +24,10 @@
   std::chrono::milliseconds m_delay;  // one way
   SlotGrant m_grant;                  // slots that this host may use
   std::uint64_t m_hash = 0;           // of its name, for rendezvous hashing
-  bool m_is_draining = false;         // itself, its zone or its region
+  // Least time between requests while it is cold; absent: none may be sent.
+  std::optional<std::chrono::nanoseconds> m_cold_spacing =
+      std::chrono::nanoseconds(0);
+  bool m_is_draining = false;  // itself, its zone or its region
   std::shared_ptr<InstanceCounters> m_counters;  // never null
 
   // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default
--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/hash.h"
+#include "steering/cold_share.h"
 
 namespace jujube::steering {
 namespace {
@@ -53,12 +54,13 @@
 
 SlotGrant GrantOf(const ViewInputs& inputs, const Announcement& announcement) {
   if (!inputs.m_grants)
-    return {.m_safe = announcement.m_slots};
+    return {.m_safe = announcement.m_slots * inputs.m_queue_factor};
   const auto found = inputs.m_grants->find(membership::KeyOf(announcement));
   return found == inputs.m_grants->end() ? SlotGrant{} : found->second;
 }
 
 Upstream MakeUpstream(const ViewInputs& inputs,
+                      const Service& service,
                       const membership::Member& member,
                       const RegionId& region,
                       CounterTable& counters) {
@@ -71,12 +73,15 @@
       is_same_region ? kZoneDelay
                      : LinkDelay(inputs.m_deployment,
                                  own ? own->m_region : RegionId{}, region);
+  const std::uint64_t hash = Hash64(announcement.m_instance.m_value);
   return {.m_member = member,
           .m_region = region,
           .m_tier = is_same_zone ? Tier::kZone : remote,
           .m_delay = is_same_zone ? std::chrono::milliseconds(0) : distance,
           .m_grant = GrantOf(inputs, announcement),
-          .m_hash = Hash64(announcement.m_instance.m_value),
+          .m_hash = hash,
+          .m_cold_spacing = ColdSpacing(service.m_cold_requests_per_1000s, hash,
+                                        inputs.m_host, inputs.m_entry_hosts),
           .m_is_draining = IsDraining(inputs.m_drains, announcement, region),
           .m_counters = counters.Of(membership::KeyOf(announcement),
                                     announcement.m_incarnation)};
@@ -114,8 +119,8 @@
       ++view.m_unknown;
       continue;
     }
-    service->m_upstreams.push_back(
-        MakeUpstream(inputs, member, zone->m_region, counters));
+    service->m_upstreams.push_back(MakeUpstream(
+        inputs, service->m_service, member, zone->m_region, counters));
   }
   return view;
 }
--- a/src/steering/upstream_view.h
+++ b/src/steering/upstream_view.h
@@ -45,6 +45,11 @@
   const std::vector<Drain>& m_drains;
   AvailabilityZoneId m_zone;  // of this host
 
+  HostId m_host = {};                      // this host
+  std::vector<HostId> m_entry_hosts = {};  // that may be sending too
+  // Requests that may be at an instance for each of its slots, without grants.
+  std::uint32_t m_queue_factor = 1;
+
   // Slots of each instance that this host may use; an instance without a line
   // has none. Nothing: no allotments yet, all announced slots are usable.
   std::optional<std::map<membership::InstanceKey, SlotGrant>> m_grants;
