Leave a feed parent that lags behind another control host

The age of the parent counts only from its election timeout on, and the next parent may be on the same side.

Change: control hosts state the newest index of the configuration with each delta; an entry host whose feed is behind for 150 ms subscribes to the host that has it, also if that host is no seed.

Ruled out: a shorter limit on the parent's age (leaves parents on each short election).

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -192,6 +192,8 @@
   const bool has_change = result != nullptr && result->m_change.has_value();
   const Status published = has_change ? m_feed.Publish(feed, *result->m_change)
                                       : m_feed.Publish(feed);
+  if (m_fleet)
+    m_fleet->SetFeedIndex(state.Config().FeedIndex());
   // A change that does not follow the published state is sent as a snapshot.
   if (!published && has_change)
     (void)m_feed.Publish(feed);
--- a/src/controld/fleet.cc
+++ b/src/controld/fleet.cc
@@ -90,6 +90,11 @@
     m_leading_since = MonoClock::now();
 }
 
+void Fleet::SetFeedIndex(std::uint64_t index) {
+  if (std::exchange(m_feed_index, index) != index)
+    PushToAll();
+}
+
 // ---- Upstreams -------------------------------------------------------------
 
 std::uint64_t Fleet::Announce(const Announcement& announcement) {
@@ -216,6 +221,7 @@
   page.m_delta.m_merged = subscriber.m_seen;
   page.m_delta.m_omitted = LeavingEntryHosts();
   page.m_delta.m_control_hosts = m_control_hosts;
+  page.m_delta.m_feed_index = m_feed_index;
   for (const auto& [host, known] : m_subscribers)
     page.m_delta.m_entry_hosts.push_back(host);
   if (connection->Send(page.m_delta))
--- a/src/controld/fleet.h
+++ b/src/controld/fleet.h
@@ -68,6 +68,8 @@
   void SetControlHosts(const std::vector<Endpoint>& endpoints,
                        const Endpoint& own);
   void SetLeading(bool is_leading);
+  // Newest index of the configuration; pushed to the entry hosts at once.
+  void SetFeedIndex(std::uint64_t index);
 
   // An upstream announced itself to this host. Returns the registry version
   // that entry hosts have to merge before a leave is acknowledged.
@@ -112,6 +114,7 @@
   net::PeerExchange m_control_peers;
   std::vector<Endpoint> m_control_hosts;
   std::map<HostId, Subscriber> m_subscribers;
+  std::uint64_t m_feed_index = 0;
   std::optional<MonoTime> m_leading_since;
   boost::asio::steady_timer m_merged_signal;  // cancelled by each confirmation
   std::uint64_t m_pushed_version = 0;
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/endpoint_text.h"
 #include "feed/change.h"
 #include "limits/topology.h"
 #include "observe/log.h"
@@ -37,6 +38,8 @@
 // To each discovered control host; three lost ones make it look silent.
 constexpr milliseconds kPresenceInterval{500};
 constexpr milliseconds kControlSilence{1700};
+// For changes of the feed that are on their way.
+constexpr milliseconds kFeedGrace{150};
 // A list of control hosts that was not confirmed for so long is forgotten.
 constexpr milliseconds kControlListMemory{10000};
 
@@ -132,6 +135,7 @@
     m_entry_hosts = delta.m_entry_hosts;
     MarkDirty();
   }
+  FollowNewerFeed(delta, now);
   if (delta.m_control_hosts.empty())
     return;
   m_control_lists[delta.m_host] = {.m_hosts = delta.m_control_hosts,
@@ -144,6 +148,21 @@
   m_peers.SetPeers(hosts);
 }
 
+// The parent of the feed may be cut off from the others. Its own changes are
+// given a moment to arrive.
+void EntryControl::FollowNewerFeed(const RegistryDelta& delta, MonoTime now) {
+  if (!m_feed_client || delta.m_feed_index <= m_state->m_index) {
+    if (delta.m_feed_index == m_state->m_index)
+      m_behind_since.reset();
+    return;
+  }
+  if (!m_behind_since)
+    m_behind_since = now;
+  const std::optional<Endpoint> newer = ParseEndpoint(delta.m_host.m_value);
+  if (newer && now - *m_behind_since >= kFeedGrace)
+    m_feed_client->SwitchTo(*newer);
+}
+
 // The control hosts send callers here while this host is ready.
 void EntryControl::UpdatePresence() {
   const bool is_ready = m_state->m_deployment.m_number > 0 && !m_drain;
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -76,6 +76,7 @@
   bool HasAllotments() const;
   net::PeerExchangeOptions ExchangeOptions();
   void OnPeerDelta(const RegistryDelta& delta);
+  void FollowNewerFeed(const RegistryDelta& delta, MonoTime now);
   void UpdatePresence();
   net::FeedClientOptions FeedOptions() const;
   boost::asio::awaitable<void> TickLoop();
@@ -118,6 +119,7 @@
     MonoTime m_at;
   };
   std::map<HostId, ControlList> m_control_lists;  // by control host
+  std::optional<MonoTime> m_behind_since;  // a control host has a newer state
   std::vector<HostId> m_entry_hosts;  // that may be sending requests
   std::atomic<bool> m_is_ready = false;
   bool m_is_dirty = true;
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -87,6 +87,8 @@
   std::vector<Endpoint>
       m_control_hosts;  // from a control host: peer listeners of all control
                         // hosts that it knows (at most 64 elements)
+  std::uint64_t m_feed_index = 0;  // from a control host: newest index of the
+                                   // configuration that it knows
   std::vector<HostId>
       m_entry_hosts;  // from a control host: entry hosts that may be sending
                       // requests (at most 2048 elements)
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -35,7 +35,7 @@
 void serialize(Archive& archive, RegistryDelta& value) {
   archive(value.m_host, value.m_incarnation, value.m_leaving, value.m_version,
           value.m_merged, value.m_presence,
-          wire::Bounded(value.m_control_hosts, 64),
+          wire::Bounded(value.m_control_hosts, 64), value.m_feed_index,
           wire::Bounded(value.m_entry_hosts, 2048),
           wire::Bounded(value.m_omitted, 2048),
           wire::Bounded(value.m_entries, 4096));
--- a/src/net/feed_client.cc
+++ b/src/net/feed_client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/endpoint_text.h"
 #include "net/frame_client.h"
 
 namespace jujube::net {
@@ -45,6 +46,8 @@
   void Heard();
   void Advance(feed::Progress progress, const FeedChange* change);
   void LeaveParent(std::string_view reason);
+  void SwitchTo(const Endpoint& parent);
+  void TryLater(std::chrono::milliseconds wait);
   std::chrono::milliseconds Backoff();
   void CheckParent();
   void Tick();
@@ -186,8 +189,26 @@
   m_parent = (m_parent + 1) % m_options.m_parents.size();
   Log(LogEvent::kFeedParentChanged,
       "from " + left + " (" + std::string(reason) + ") to " + ParentName());
-  // The client is replaced from the timer, never from within its own callback.
-  m_change_timer.expires_after(Backoff());
+  TryLater(Backoff());
+}
+
+void FeedClient::Impl::SwitchTo(const Endpoint& parent) {
+  auto& parents = m_options.m_parents;
+  if (m_stopped || parents[m_parent] == parent)
+    return;
+  Log(LogEvent::kFeedParentChanged,
+      "from " + ParentName() + " (lags behind) to " + EndpointText(parent));
+  auto at = std::find(parents.begin(), parents.end(), parent);
+  if (at == parents.end())
+    at = parents.insert(at, parent);
+  m_parent = static_cast<std::size_t>(at - parents.begin());
+  m_leaving = true;
+  TryLater(std::chrono::milliseconds(0));
+}
+
+// The client is replaced from the timer, never from within its own callback.
+void FeedClient::Impl::TryLater(std::chrono::milliseconds wait) {
+  m_change_timer.expires_after(wait);
   m_change_timer.async_wait([self = weak_from_this()](const auto& error) {
     const auto client = self.lock();
     if (!error && client && !client->m_stopped)
@@ -237,8 +258,7 @@
 }
 
 std::string FeedClient::Impl::ParentName() const {
-  const Endpoint& parent = m_options.m_parents[m_parent];
-  return parent.m_address + ":" + std::to_string(parent.m_port);
+  return EndpointText(m_options.m_parents[m_parent]);
 }
 
 FeedClient::FeedClient(asio::io_context& context,
@@ -270,6 +290,10 @@
     m_impl->m_client->Stop();
 }
 
+void FeedClient::SwitchTo(const Endpoint& parent) {
+  m_impl->SwitchTo(parent);
+}
+
 const feed::Follower& FeedClient::Source() const {
   return m_impl->m_follower;
 }
--- a/src/net/feed_client.h
+++ b/src/net/feed_client.h
@@ -64,6 +64,10 @@
   void Start();
   void Stop();
 
+  // Subscribes to this parent next, for example because it has a newer state
+  // than the present one. It need not be one of the options.
+  void SwitchTo(const Endpoint& parent);
+
   const feed::Follower& Source() const;
   std::size_t Parent() const;  // position in m_parents
   bool IsConnected() const;    // to that parent
