Send routes as differences in the feed, and prefer near instances for objects

Most of the price was bytes between regions, since an object's instance was chosen among all regions alike.

Change: a feed change holds the routes that differ; the operator's text stays with the control hosts; host lists go out when they change. Weighted rendezvous hashing prefers instances of the region four to one; the part of each region does not depend on load, so requests do not move between regions.

--- a/src/control/configuration.cc
+++ b/src/control/configuration.cc
@@ -107,8 +107,7 @@
   const auto known = Recall(command.m_deployment.m_number, command.m_digest);
   if (known)
     return *known;
-  if (command.m_base_number &&
-      *command.m_base_number != m_document->m_number)
+  if (command.m_base_number && *command.m_base_number != m_document->m_number)
     return OtherBase();
   if (command.m_base_index != m_document_index)
     return {.m_outcome = ApplyOutcome::kBaseChanged};
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -47,6 +47,9 @@
 
   // Whole document, canonical (config/digest.h). Number 0 before the first one.
   const Deployment& Document() const { return *m_document; }
+  std::shared_ptr<const Deployment> SharedDocument() const {
+    return m_document;
+  }
   std::uint64_t DocumentIndex() const { return m_document_index; }
   std::uint64_t FeedIndex() const { return m_feed_index; }
   const std::vector<jujube::Drain>& Drains() const { return m_drains; }
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "config/difference.h"
+#include "config/route_difference.h"
 #include "gen/claims_wire.h"
 #include "gen/control_wire.h"
 #include "limits/lease_clock.h"
@@ -19,6 +20,12 @@
 constexpr std::size_t kMaxChangedBytes = std::size_t{3} * 1024 * 1024;
 constexpr std::size_t kLengthBytes = 4;
 
+// Entry hosts have no use for the text that an operator wrote.
+Deployment FeedDocument(Deployment document) {
+  document.m_source.clear();
+  return document;
+}
+
 bool FitsIntoChange(const ApplyCommand& command) {
   if (command.m_upserted.size() > kMaxChangedBlocks ||
       command.m_removed.size() > kMaxChangedBlocks) {
@@ -59,11 +66,12 @@
   m_applied_index = index;
   JUJUBE_TRY(const Command command, DecodeCommand(bytes));
   const std::uint64_t feed_index = m_config.FeedIndex();
+  const std::shared_ptr<const Deployment> before = m_config.SharedDocument();
   JUJUBE_TRY(CommandAnswer answer, Dispatch(command, index));
   CommandResult result{.m_answer = std::move(answer)};
   result.m_feed_changed = m_config.FeedIndex() != feed_index;
   if (result.m_feed_changed)
-    result.m_change = MakeChange(feed_index, command);
+    result.m_change = MakeChange(feed_index, *before, command);
   return result;
 }
 
@@ -163,14 +171,21 @@
 
 std::optional<FeedChange> StateMachine::MakeChange(
     std::uint64_t previous_index,
+    const Deployment& before,
     const Command& command) const {
-  FeedChange change{.m_previous_index = previous_index,
-                    .m_index = m_config.FeedIndex(),
-                    .m_deployment = config::WithoutBlocks(m_config.Document()),
-                    .m_drains = m_config.Drains(),
-                    .m_shift = m_config.ShiftInForce()};
+  FeedChange change{
+      .m_previous_index = previous_index,
+      .m_index = m_config.FeedIndex(),
+      .m_deployment = FeedDocument(config::WithoutBlocks(m_config.Document())),
+      .m_drains = m_config.Drains(),
+      .m_shift = m_config.ShiftInForce()};
+  change.m_deployment.m_routes.clear();
   if (command.m_kind != CommandKind::kApply)
     return change;
+  config::RouteChanges routes =
+      config::CompareRoutes(before.m_routes, m_config.Document().m_routes);
+  change.m_upserted_routes = std::move(routes.m_upserted);
+  change.m_removed_routes = std::move(routes.m_removed);
   const auto applied = DecodeApplyCommand(command.m_data);
   if (!applied || !FitsIntoChange(applied.value()))
     return std::nullopt;
@@ -181,7 +196,7 @@
 
 FeedState StateMachine::Feed() const {
   return {.m_index = m_config.FeedIndex(),
-          .m_deployment = m_config.Document(),
+          .m_deployment = FeedDocument(m_config.Document()),
           .m_drains = m_config.Drains(),
           .m_shift = m_config.ShiftInForce()};
 }
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -160,6 +160,7 @@
   RemoveAnswer Run(const RemoveHostCommand& command, std::uint64_t index);
   ShiftAnswer Run(const ShiftCommand& command, std::uint64_t index);
   std::optional<FeedChange> MakeChange(std::uint64_t previous_index,
+                                       const Deployment& before,
                                        const Command& command) const;
 
   std::uint64_t m_applied_index = 0;
--- a/src/controld/fleet.cc
+++ b/src/controld/fleet.cc
@@ -78,6 +78,7 @@
   if (endpoints == m_control_hosts)
     return;
   m_control_hosts = endpoints;
+  ++m_lists_version;
   std::vector<Endpoint> others = endpoints;
   std::erase(others, own);
   m_control_peers.SetPeers(others);
@@ -168,6 +169,8 @@
 void Fleet::OnEntryHost(const net::FrameSource& source,
                         const RegistryDelta& delta) {
   const MonoTime now = MonoClock::now();
+  if (!m_subscribers.contains(delta.m_host))
+    ++m_lists_version;
   Subscriber& subscriber = m_subscribers[delta.m_host];
   const auto connection = source.m_connection.lock();
   const bool is_same = subscriber.m_incarnation == delta.m_incarnation &&
@@ -220,12 +223,16 @@
   page.m_delta.m_version = page.m_upto;
   page.m_delta.m_merged = subscriber.m_seen;
   page.m_delta.m_omitted = LeavingEntryHosts();
-  page.m_delta.m_control_hosts = m_control_hosts;
   page.m_delta.m_feed_index = m_feed_index;
-  for (const auto& [host, known] : m_subscribers)
-    page.m_delta.m_entry_hosts.push_back(host);
-  if (connection->Send(page.m_delta))
-    subscriber.m_cursor = page.m_upto;
+  if (subscriber.m_lists != m_lists_version) {
+    page.m_delta.m_control_hosts = m_control_hosts;
+    for (const auto& [host, known] : m_subscribers)
+      page.m_delta.m_entry_hosts.push_back(host);
+  }
+  if (!connection->Send(page.m_delta))
+    return;
+  subscriber.m_cursor = page.m_upto;
+  subscriber.m_lists = m_lists_version;
 }
 
 void Fleet::PushToAll() {
@@ -282,9 +289,12 @@
     MarkSilentInstances(now);
     if (m_registry.Version() != m_pushed_version)
       PushToAll();
-    std::erase_if(m_subscribers, [&](const auto& line) {
-      return now - line.second.m_heard > kEntryHostMemory;
-    });
+    const std::size_t forgotten =
+        std::erase_if(m_subscribers, [&](const auto& line) {
+          return now - line.second.m_heard > kEntryHostMemory;
+        });
+    if (forgotten > 0)
+      ++m_lists_version;
     timer.expires_after(kTick);
     co_await timer.async_wait(kTuple);
   }
--- a/src/controld/fleet.h
+++ b/src/controld/fleet.h
@@ -92,6 +92,7 @@
     std::uint64_t m_cursor = 0;  // version that was sent
     std::uint64_t m_merged = 0;  // version that it confirmed
     std::uint64_t m_seen = 0;    // its version that is merged here
+    std::uint64_t m_lists = 0;   // version of the host lists that it was sent
     EntryPresence m_presence;
     bool m_is_leaving = false;
     MonoTime m_heard;
@@ -114,6 +115,7 @@
   net::PeerExchange m_control_peers;
   std::vector<Endpoint> m_control_hosts;
   std::map<HostId, Subscriber> m_subscribers;
+  std::uint64_t m_lists_version = 1;  // of control hosts and entry hosts
   std::uint64_t m_feed_index = 0;
   std::optional<MonoTime> m_leading_since;
   boost::asio::steady_timer m_merged_signal;  // cancelled by each confirmation
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -40,8 +40,9 @@
 constexpr milliseconds kControlSilence{1700};
 // For changes of the feed that are on their way.
 constexpr milliseconds kFeedGrace{150};
-// A list of control hosts that was not confirmed for so long is forgotten.
-constexpr milliseconds kControlListMemory{10000};
+// Connection, handshake and subscription take four round trips, 300 ms between
+// regions; another change of the parent before that would start them again.
+constexpr milliseconds kSwitchPatience{800};
 
 membership::RegistryLimits MakeRegistryLimits(const EntrySettings& settings) {
   membership::RegistryLimits limits;
@@ -127,8 +128,8 @@
   return options;
 }
 
-// A control host tells the others that it knows. Lists of several hosts are
-// joined, because one that is cut off may know less.
+// A control host tells the others that it knows, when that changes. Lists of
+// several hosts are joined, because one that is cut off may know less.
 void EntryControl::OnPeerDelta(const RegistryDelta& delta) {
   const MonoTime now = MonoClock::now();
   if (!delta.m_entry_hosts.empty() && delta.m_entry_hosts != m_entry_hosts) {
@@ -138,13 +139,10 @@
   FollowNewerFeed(delta, now);
   if (delta.m_control_hosts.empty())
     return;
-  m_control_lists[delta.m_host] = {.m_hosts = delta.m_control_hosts,
-                                   .m_at = now};
+  m_control_lists[delta.m_host] = delta.m_control_hosts;
   std::vector<Endpoint> hosts = m_shared.m_settings.m_control;
-  for (const auto& [host, list] : m_control_lists) {
-    if (now - list.m_at < kControlListMemory)
-      hosts.insert(hosts.end(), list.m_hosts.begin(), list.m_hosts.end());
-  }
+  for (const auto& [host, list] : m_control_lists)
+    hosts.insert(hosts.end(), list.begin(), list.end());
   m_peers.SetPeers(hosts);
 }
 
@@ -159,8 +157,11 @@
   if (!m_behind_since)
     m_behind_since = now;
   const std::optional<Endpoint> newer = ParseEndpoint(delta.m_host.m_value);
-  if (newer && now - *m_behind_since >= kFeedGrace)
-    m_feed_client->SwitchTo(*newer);
+  if (!newer || now - *m_behind_since < kFeedGrace ||
+      now - m_feed_switched < kSwitchPatience)
+    return;
+  m_feed_switched = now;
+  m_feed_client->SwitchTo(*newer);
 }
 
 // The control hosts send callers here while this host is ready.
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -114,13 +114,10 @@
   std::optional<request::HostDrain> m_drain;
   std::function<void()> m_on_drained;
   ControlMetrics m_metrics;
-  struct ControlList {
-    std::vector<Endpoint> m_hosts;
-    MonoTime m_at;
-  };
-  std::map<HostId, ControlList> m_control_lists;  // by control host
+  std::map<HostId, std::vector<Endpoint>> m_control_lists;  // by control host
+  MonoTime m_feed_switched;                // last change of the feed's parent
   std::optional<MonoTime> m_behind_since;  // a control host has a newer state
-  std::vector<HostId> m_entry_hosts;  // that may be sending requests
+  std::vector<HostId> m_entry_hosts;       // that may be sending requests
   std::atomic<bool> m_is_ready = false;
   bool m_is_dirty = true;
   bool m_is_stopped = false;
--- a/src/feed/change.cc
+++ b/src/feed/change.cc
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "config/difference.h"
+#include "config/route_difference.h"
+
 namespace jujube::feed {
 
 namespace {
@@ -39,11 +43,10 @@
   return unique;
 }
 
-// Takes a whole copy instead of single fields, so that a field that is added to
-// the document is never left out here.
-Deployment WithoutBlocks(Deployment deployment) {
-  Blocks().swap(deployment.m_blocks);
-  return deployment;
+// What a change states as a whole: all but the long lists.
+Deployment WithoutLists(Deployment deployment) {
+  deployment.m_routes.clear();
+  return config::WithoutBlocks(std::move(deployment));
 }
 
 Blocks MergeBlocks(const Blocks& before,
@@ -70,6 +73,8 @@
 }  // namespace
 
 FeedState Canonical(FeedState state) {
+  std::sort(state.m_deployment.m_routes.begin(),
+            state.m_deployment.m_routes.end());
   state.m_deployment.m_blocks =
       SortedBlocks(std::move(state.m_deployment.m_blocks));
   return state;
@@ -83,9 +88,13 @@
   }
   FeedChange change{.m_previous_index = before.m_index,
                     .m_index = after.m_index,
-                    .m_deployment = WithoutBlocks(after.m_deployment),
+                    .m_deployment = WithoutLists(after.m_deployment),
                     .m_drains = after.m_drains,
                     .m_shift = after.m_shift};
+  config::RouteChanges routes = config::CompareRoutes(
+      before.m_deployment.m_routes, after.m_deployment.m_routes);
+  change.m_upserted_routes = std::move(routes.m_upserted);
+  change.m_removed_routes = std::move(routes.m_removed);
   const Blocks& from = before.m_deployment.m_blocks;
   auto old = from.begin();
   for (const CallerBlock& block : after.m_deployment.m_blocks) {
@@ -123,9 +132,12 @@
   std::vector<std::string> removed = change.m_removed;
   std::sort(removed.begin(), removed.end());
   FeedState after{.m_index = change.m_index,
-                  .m_deployment = WithoutBlocks(change.m_deployment),
+                  .m_deployment = WithoutLists(change.m_deployment),
                   .m_drains = change.m_drains,
                   .m_shift = change.m_shift};
+  after.m_deployment.m_routes = config::MergeRoutes(
+      before.m_deployment.m_routes, {.m_upserted = change.m_upserted_routes,
+                                     .m_removed = change.m_removed_routes});
   after.m_deployment.m_blocks = MergeBlocks(
       before.m_deployment.m_blocks, SortedBlocks(change.m_upserted), removed);
   return after;
--- a/src/gen/feed.h
+++ b/src/gen/feed.h
@@ -30,13 +30,17 @@
 
 // One change: the document without blocks, and the blocks that differ.
 struct FeedChange {
-  std::uint64_t m_previous_index = 0;   // index to which the change applies
-  std::uint64_t m_index = 0;            // index after the change
-  Deployment m_deployment;              // document without its blocks
+  std::uint64_t m_previous_index = 0;  // index to which the change applies
+  std::uint64_t m_index = 0;           // index after the change
+  Deployment m_deployment;             // document without its blocks and routes
   std::vector<CallerBlock> m_upserted;  // blocks that are new or have another
                                         // site (at most 100000 elements)
   std::vector<std::string>
       m_removed;  // prefixes that are gone (at most 100000 elements)
+  std::vector<RouteRule> m_upserted_routes;  // routes that are new or different
+                                             // (at most 100000 elements)
+  std::vector<std::string> m_removed_routes;  // names of routes that are gone
+                                              // (at most 100000 elements)
   std::vector<Drain> m_drains;  // all drains in force (at most 4096 elements)
   ShiftState m_shift;           // where callers are steered
 
--- a/src/gen/feed_serialize.h
+++ b/src/gen/feed_serialize.h
@@ -24,6 +24,8 @@
   archive(value.m_previous_index, value.m_index, value.m_deployment,
           wire::Bounded(value.m_upserted, 100000),
           wire::Bounded(value.m_removed, 100000),
+          wire::Bounded(value.m_upserted_routes, 100000),
+          wire::Bounded(value.m_removed_routes, 100000),
           wire::Bounded(value.m_drains, 4096), value.m_shift);
 }
 
--- a/src/steering/candidate.h
+++ b/src/steering/candidate.h
@@ -11,14 +11,14 @@
 namespace jujube::steering {
 
 struct Candidate {
-  std::size_t m_index = 0;               // in ServiceUpstreams::m_upstreams
-  Tier m_tier = Tier::kRemote;           // distance from this host
-  std::uint32_t m_in_progress = 0;       // requests of this host, below m_limit
-  std::uint32_t m_limit = 0;             // slots usable now, after the ramp
-  std::uint32_t m_slots = 0;             // that the instance has
-  std::uint32_t m_others = 0;            // requests of other hosts, if known
-  std::uint64_t m_affinity = 0;          // rank for the object; 0: no object
-  bool m_is_cold = false;                // slow, and bounded in its rate
+  std::size_t m_index = 0;          // in ServiceUpstreams::m_upstreams
+  Tier m_tier = Tier::kRemote;      // distance from this host
+  std::uint32_t m_in_progress = 0;  // requests of this host, below m_limit
+  std::uint32_t m_limit = 0;        // slots usable now, after the ramp
+  std::uint32_t m_slots = 0;        // that the instance has
+  std::uint32_t m_others = 0;       // requests of other hosts, if known
+  double m_affinity = 0;   // rank for the object, higher first; 0: no object
+  bool m_is_cold = false;  // slow, and bounded in its rate
   std::uint32_t m_use_permille = 0;      // EstimateUse
   std::uint32_t m_ramp_permille = 1000;  // 1000: warm
   std::uint32_t m_failure_permille = 0;  // recent failures
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -1,6 +1,9 @@
 #include "steering/candidate_collector.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
 #include <optional>
 
 #include "core/hash.h"
@@ -17,6 +20,12 @@
 
 constexpr std::int64_t kUnknownLatency = -1;
 
+// Weight of the instances of a tier for an object: zone, region, remote.
+// Objects are mostly asked for from one place, so a near instance saves bytes
+// between regions and costs no further copies. The part of each region stays
+// the same while the load changes, since the weights do not depend on it.
+constexpr std::array<double, 3> kTierWeight = {4, 4, 1};
+
 // An instance that failed may have restarted without saying so yet.
 constexpr std::chrono::seconds kColdAfterEjection{3};
 
@@ -85,9 +94,16 @@
   return now - seen.m_others_at < kOthersMemory ? seen.m_others : 0;
 }
 
-// 0 is reserved for requests without an object.
-std::uint64_t AffinityOf(const Upstream& upstream, std::uint64_t object) {
-  return object == 0 ? 0 : MixHash(object, upstream.m_hash) | 1U;
+// Weighted rendezvous hashing: an instance gets a part of the objects that is
+// proportional to its weight.
+double AffinityOf(const Upstream& upstream, std::uint64_t object) {
+  if (object == 0)
+    return 0;
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  const double part =
+      (static_cast<double>(MixHash(object, upstream.m_hash)) + 1) / kRange;
+  return kTierWeight[static_cast<std::size_t>(upstream.m_tier)] /
+         std::max(-std::log(part), std::numeric_limits<double>::min());
 }
 
 std::uint32_t UseOf(const Upstream& upstream,
