Check the parent of the feed on each tick

Found in the log: no change of the parent between 9.4 s and 12.4 s.

Change: the newest index and its host are kept, and compared each 50 ms.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -131,12 +131,15 @@
 // A control host tells the others that it knows, when that changes. Lists of
 // several hosts are joined, because one that is cut off may know less.
 void EntryControl::OnPeerDelta(const RegistryDelta& delta) {
-  const MonoTime now = MonoClock::now();
   if (!delta.m_entry_hosts.empty() && delta.m_entry_hosts != m_entry_hosts) {
     m_entry_hosts = delta.m_entry_hosts;
     MarkDirty();
   }
-  FollowNewerFeed(delta, now);
+  const std::optional<Endpoint> sender = ParseEndpoint(delta.m_host.m_value);
+  if (sender && delta.m_feed_index >= m_newest_index) {
+    m_newest_index = delta.m_feed_index;
+    m_newest_host = *sender;
+  }
   if (delta.m_control_hosts.empty())
     return;
   m_control_lists[delta.m_host] = delta.m_control_hosts;
@@ -148,20 +151,18 @@
 
 // The parent of the feed may be cut off from the others. Its own changes are
 // given a moment to arrive.
-void EntryControl::FollowNewerFeed(const RegistryDelta& delta, MonoTime now) {
-  if (!m_feed_client || delta.m_feed_index <= m_state->m_index) {
-    if (delta.m_feed_index == m_state->m_index)
-      m_behind_since.reset();
+void EntryControl::FollowNewerFeed(MonoTime now) {
+  if (!m_feed_client || m_newest_index <= m_state->m_index) {
+    m_behind_since.reset();
     return;
   }
   if (!m_behind_since)
     m_behind_since = now;
-  const std::optional<Endpoint> newer = ParseEndpoint(delta.m_host.m_value);
-  if (!newer || now - *m_behind_since < kFeedGrace ||
+  if (now - *m_behind_since < kFeedGrace ||
       now - m_feed_switched < kSwitchPatience)
     return;
   m_feed_switched = now;
-  m_feed_client->SwitchTo(*newer);
+  m_feed_client->SwitchTo(m_newest_host);
 }
 
 // The control hosts send callers here while this host is ready.
@@ -392,6 +393,7 @@
                           steering::EvaluateOutliers(service, {}, now));
   }
   AdvanceDrain(now);
+  FollowNewerFeed(now);
   UpdatePresence();
   if (m_is_dirty)
     Publish();
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -76,7 +76,7 @@
   bool HasAllotments() const;
   net::PeerExchangeOptions ExchangeOptions();
   void OnPeerDelta(const RegistryDelta& delta);
-  void FollowNewerFeed(const RegistryDelta& delta, MonoTime now);
+  void FollowNewerFeed(MonoTime now);
   void UpdatePresence();
   net::FeedClientOptions FeedOptions() const;
   boost::asio::awaitable<void> TickLoop();
@@ -115,6 +115,8 @@
   std::function<void()> m_on_drained;
   ControlMetrics m_metrics;
   std::map<HostId, std::vector<Endpoint>> m_control_lists;  // by control host
+  std::uint64_t m_newest_index = 0;        // of the feed, at any control host
+  Endpoint m_newest_host;                  // control host that stated it last
   MonoTime m_feed_switched;                // last change of the feed's parent
   std::optional<MonoTime> m_behind_since;  // a control host has a newer state
   std::vector<HostId> m_entry_hosts;       // that may be sending requests
