Publish a leave before it is confirmed, and rank full instances too

Cause: DiscoveryTest.EntryHostServesWhatAnnouncesItself failed: an entry host confirmed a leaving upstream when its registry had it, up to 50 ms before its workers did. AffinityPolicy.RefusesOnceItsFirstInstancesAreFull failed: full instances were left out before the policy ranked them, so that a request took the next ones for the first three and never was refused.

Change: a delta with a leave is published at once, before the confirmation; candidates for an object are filtered by the policy. Entry hosts of the caller's zone come first, and zone, region and remote instances weigh 8, 4 and 1.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -131,6 +131,15 @@
 // A control host tells the others that it knows, when that changes. Lists of
 // several hosts are joined, because one that is cut off may know less.
 void EntryControl::OnPeerDelta(const RegistryDelta& delta) {
+  // The sender takes the reply as a promise that a leaving upstream gets
+  // nothing more, so the workers have to see it first.
+  const bool has_leave = std::any_of(
+      delta.m_entries.begin(), delta.m_entries.end(),
+      [](const RegistryEntry& entry) {
+        return entry.m_announcement.m_state == UpstreamState::kLeaving;
+      });
+  if (has_leave && m_registry.Version() != m_published_registry)
+    Publish();
   if (!delta.m_entry_hosts.empty() && delta.m_entry_hosts != m_entry_hosts) {
     m_entry_hosts = delta.m_entry_hosts;
     MarkDirty();
--- a/src/lookup/entry_choice.h
+++ b/src/lookup/entry_choice.h
@@ -1,9 +1,10 @@
 // ChooseEntryHosts: which entry hosts a caller is told to use, for callers that
 // pick one of an answer at random.
 //
-// Hosts of the caller's region, so that a request crosses no region before it
-// is placed, and enough of them that the loss of one leaves another. With fewer
-// than two in the region, all hosts are named.
+// Hosts of the caller's availability zone, so that a request crosses neither
+// zone nor region before it is placed. With fewer than two in the zone those of
+// the region are named, and with fewer than two there all hosts, so that the
+// loss of one leaves another.
 
 #pragma once
 
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -24,7 +24,7 @@
 // Objects are mostly asked for from one place, so a near instance saves bytes
 // between regions and costs no further copies. The part of each region stays
 // the same while the load changes, since the weights do not depend on it.
-constexpr std::array<double, 3> kTierWeight = {4, 4, 1};
+constexpr std::array<double, 3> kTierWeight = {8, 4, 1};
 
 // An instance that failed may have restarted without saying so yet.
 constexpr std::chrono::seconds kColdAfterEjection{3};
@@ -167,8 +167,11 @@
     candidate.m_limit = static_cast<std::uint32_t>(
         (candidate.m_limit * ramp + kWhole - 1) / kWhole);
   }
+  // A policy that ranks instances for an object has to see the full ones too,
+  // or it would take the next ones for the first.
   std::erase_if(out, [](const Candidate& candidate) {
-    return candidate.m_in_progress >= candidate.m_limit;
+    return candidate.m_affinity == 0 &&
+           candidate.m_in_progress >= candidate.m_limit;
   });
 }
 
--- /dev/null
+++ b/tests/platform/translation_test.cc
@@ -0,0 +1,289 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "config/check.h"
+#include "net/http_fields.h"
+#include "platform/announcement.h"
+#include "platform/document.h"
+#include "platform/node_settings.h"
+#include "platform/request_dialect.h"
+
+namespace jujube::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+const lookup::ZoneRegions kRegions = {{{"luz-caloocan"}, {"luzon"}},
+                                      {{"vis-mandaue"}, {"visayas"}}};
+
+constexpr const char* kDocument = R"({"version":7,"routes":[
+  {"name":"r-1","host":"jepu9.example","path_prefix":"/puka111/",
+   "kind":"at_most_once","timeout_s":1.2,"target_latency_s":0.8,"priority":1,
+   "service":"wuno96b","max_attempts":2,"has_affinity":true,
+   "allowed_regions":["luzon"],"later_field":{"a":1}},
+  {"name":"r-2","host":"hulo84.example","path_prefix":"/leny950/",
+   "kind":"repeatable","timeout_s":4,"target_latency_s":0.6,"priority":2,
+   "weighted_services":[{"service":"huvo11a","weight":90},
+                        {"service":"wuno96b","weight":10}],
+   "max_attempts":2,"has_affinity":false,"allowed_regions":[]}],
+  "services":[{"name":"huvo11a","health_path":"/health","max_connections":360,
+               "protocol":"h1","tls":false,"warmup_s":3.0,"cold_per_s":2.9},
+              {"name":"wuno96b","max_connections":360,"cold_per_s":2.9}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+            "header_timeout_s":3,"idle_timeout_s":15}})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+bool IsRefused(const std::string& text) {
+  const Result<Deployment> document = ParseOperatorDocument(text, kRegions);
+  return !document || !config::Check(document.value()).empty();
+}
+
+// Guards against a route that loses its kind, limits or weights on the way.
+TEST(OperatorDocument, IsTranslatedAsAWhole) {
+  const Result<Deployment> parsed = ParseOperatorDocument(kDocument, kRegions);
+  ASSERT_TRUE(parsed) << parsed.error().m_message;
+  const Deployment& document = parsed.value();
+  EXPECT_TRUE(config::Check(document).empty());
+  EXPECT_EQ(document.m_number, 7U);
+  EXPECT_EQ(document.m_source, kDocument);
+  ASSERT_EQ(document.m_routes.size(), 2U);
+  const RouteRule& first = document.m_routes[0];
+  EXPECT_EQ(first.m_kind, RequestKind::kAtMostOnce);
+  EXPECT_EQ(first.m_time_limit, milliseconds(1200));
+  EXPECT_EQ(first.m_target_latency, milliseconds(800));
+  EXPECT_EQ(first.m_priority, 8);
+  EXPECT_TRUE(first.m_has_affinity);
+  ASSERT_EQ(first.m_allowed_regions.size(), 1U);
+  const RouteRule& second = document.m_routes[1];
+  EXPECT_EQ(second.m_kind, RequestKind::kRepeatable);
+  ASSERT_EQ(second.m_services.size(), 2U);
+  EXPECT_EQ(second.m_services[0].m_weight, 90U);
+  EXPECT_EQ(document.m_services[0].m_cold_requests_per_1000s, 2900U);
+  EXPECT_EQ(document.m_request_limits.m_idle_timeout, milliseconds(15000));
+}
+
+// Guards against an invalid configuration that is acknowledged.
+TEST(OperatorDocument, InvalidOnesAreRefused) {
+  const std::string document = kDocument;
+  EXPECT_TRUE(IsRefused(document.substr(0, document.size() / 2)));
+  EXPECT_TRUE(IsRefused(Replaced(document, "at_most_once", "sometimes")));
+  EXPECT_TRUE(IsRefused(
+      Replaced(document, "\"max_attempts\":2", "\"max_attempts\":0")));
+  EXPECT_TRUE(IsRefused(Replaced(document, "\"service\":\"wuno96b\",\"max",
+                                 "\"service\":\"other\",\"max")));
+  EXPECT_TRUE(
+      IsRefused(Replaced(Replaced(document, "\"weight\":90", "\"weight\":0"),
+                         "\"weight\":10", "\"weight\":0")));
+  EXPECT_TRUE(
+      IsRefused(Replaced(document, "\"timeout_s\":1.2", "\"timeout_s\":0")));
+  EXPECT_TRUE(
+      IsRefused(Replaced(document, "\"version\":7", "\"version\":\"seven\"")));
+  EXPECT_TRUE(
+      IsRefused(Replaced(Replaced(document, "hulo84.example", "jepu9.example"),
+                         "/leny950/", "/puka111/")));
+  EXPECT_FALSE(IsRefused(document));
+}
+
+constexpr const char* kAnnouncement =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"luz-caloocan",
+        "version":"v1","slots":3,"state":"serving","cold_left_s":1.5,
+        "sequence":4,"born":1773563351661})";
+
+// Guards against an announcement whose times or order change on the way.
+TEST(UpstreamAnnouncement, IsTranslated) {
+  const auto parsed = ParseUpstreamAnnouncement("i-7f", kAnnouncement);
+  ASSERT_TRUE(parsed) << parsed.error().m_message;
+  const Announcement& announcement = parsed.value();
+  EXPECT_EQ(announcement.m_instance.m_value, "i-7f");
+  EXPECT_EQ(announcement.m_incarnation, 1773563351661U);
+  EXPECT_EQ(announcement.m_endpoint.m_address, "10.128.0.9");
+  EXPECT_EQ(announcement.m_endpoint.m_port, 8080);
+  EXPECT_EQ(announcement.m_cold_for, milliseconds(1500));
+  EXPECT_EQ(announcement.m_state, UpstreamState::kServing);
+}
+
+// Guards against an instance of which nothing certain is known getting work.
+TEST(UpstreamAnnouncement, OfAnotherWriterNamesNoInstance) {
+  const std::string good = kAnnouncement;
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"service\":\"huvo11a\"", "\"service\":7"},
+           {"\"service\":\"huvo11a\",", ""},
+           {"10.128.0.9:8080", "10.128.0.9"},
+           {"10.128.0.9:8080", "10.128.0.9:0"},
+           {"\"slots\":3", "\"slots\":0"},
+           {"\"slots\":3", "\"slots\":\"3\""},
+           {"\"state\":\"serving\"", "\"state\":\"resting\""},
+           {"\"sequence\":4", "\"sequence\":-1"},
+           {"\"sequence\":4", "\"sequence\":1.5"},
+           {"1773563351661", "\"soon\""}}) {
+    EXPECT_FALSE(ParseUpstreamAnnouncement("i-7f", Replaced(good, from, to)))
+        << from << " -> " << to;
+  }
+  EXPECT_FALSE(ParseUpstreamAnnouncement("i-7f", "\xff\xfe"));
+  EXPECT_FALSE(ParseUpstreamAnnouncement("i-7f", "[]"));
+  EXPECT_FALSE(ParseUpstreamAnnouncement("", good));
+}
+
+// Guards against a leave that is older than the beat before it or newer than
+// the next one of the same count.
+TEST(UpstreamAnnouncement, LeaveStandsBetweenTwoAnnouncements) {
+  const Announcement known =
+      ParseUpstreamAnnouncement("i", kAnnouncement).value();
+  const Announcement next =
+      ParseUpstreamAnnouncement(
+          "i", Replaced(kAnnouncement, "\"sequence\":4", "\"sequence\":5"))
+          .value();
+  const Announcement leaving = LeavingAfter(known);
+  EXPECT_EQ(leaving.m_state, UpstreamState::kLeaving);
+  EXPECT_GT(leaving.m_sequence, known.m_sequence);
+  EXPECT_LT(leaving.m_sequence, next.m_sequence);
+}
+
+constexpr const char* kNode =
+    R"({"node_name":"core-luz-1","zone":"luz-caloocan","ip":"10.1.0.17",
+        "inner_port_range":[7620,7635],
+        "seeds":["10.1.0.17:8649","10.2.0.43:8649","10.3.0.40:8649"],
+        "listen":{"control":"10.1.0.17:8649","directory":"10.1.0.17:8644",
+                  "front":"10.1.0.17:8641","ready":"10.1.0.17:8640"},
+        "zones":{"luz-caloocan":"luzon"},"bootstrap":true,
+        "data_dir":"/data/control","heartbeat_s":1.5,
+        "bounds":{"grace_s":6},"unknown":[1,2]})";
+
+// Guards against a host that founds a second log.
+TEST(NodeSettings, OnlySeedsOfTheFirstStartFoundTheLog) {
+  const auto join = [](const std::string& text) {
+    return ControlSettingsOf(ParseNodeSettings(text).value()).value().m_join;
+  };
+  EXPECT_FALSE(join(kNode));
+  EXPECT_TRUE(
+      join(Replaced(kNode, "\"bootstrap\":true", "\"bootstrap\":false")));
+  EXPECT_TRUE(
+      join(Replaced(kNode, "\"ip\":\"10.1.0.17\"", "\"ip\":\"10.1.0.99\"")));
+}
+
+// Guards against peers that are looked for on the listener of operators.
+TEST(NodeSettings, PeersListenOnTheFirstInnerPort) {
+  const NodeSettings node = ParseNodeSettings(kNode).value();
+  const ControlSettings control = ControlSettingsOf(node).value();
+  ASSERT_EQ(control.m_peers.size(), 3U);
+  EXPECT_EQ(control.m_peers[1].m_host.m_value, "10.2.0.43:7620");
+  EXPECT_EQ(control.m_peers[1].m_peer.m_port, 7620);
+  EXPECT_EQ(control.m_peers[1].m_operator.m_port, 8649);
+  const EntrySettings entry = EntrySettingsOf(node).value();
+  EXPECT_EQ(entry.m_control[2].m_address, "10.3.0.40");
+  EXPECT_EQ(entry.m_control[2].m_port, 7620);
+  // The planned stop ends before SIGKILL.
+  EXPECT_LT(entry.m_drain_limit + milliseconds(3000), node.m_stop_limit);
+}
+
+// Guards against a bad value that goes unnoticed.
+TEST(NodeSettings, ErrorsNameTheField) {
+  const auto error = [](const std::string& from, const std::string& to) {
+    const auto parsed = ParseNodeSettings(Replaced(kNode, from, to));
+    return parsed ? std::string("accepted") : parsed.error().m_message;
+  };
+  EXPECT_NE(error("\"10.3.0.40:8649\"", "\"nowhere\"").find("seeds"),
+            std::string::npos);
+  EXPECT_NE(error("[7620,7635]", "[]").find("inner_port_range"),
+            std::string::npos);
+  EXPECT_NE(error("\"zone\":\"luz-caloocan\"", "\"zone\":4").find("zone"),
+            std::string::npos);
+}
+
+entry::ServingView ViewOf(const Deployment& document) {
+  return {.m_routes =
+              std::make_shared<const steering::RouteTable>(document.m_routes)};
+}
+
+RequestHead Head(const std::string& host, const std::string& target) {
+  return {.m_method = "GET",
+          .m_target = target,
+          .m_headers = {{"Host", host},
+                        {"Attempt-Id", "9c41"},
+                        {"Affinity-Key", "17"},
+                        {"Deadline-Ms", "2500"},
+                        {"Connection", "keep-alive"}}};
+}
+
+// Guards against a 404 for a host that knows no configuration yet, which would
+// be final for the caller.
+TEST(RequestDialect, UnknownRoutesAndMissingConfigurationDiffer) {
+  const auto view = ViewOf(ParseOperatorDocument(kDocument, kRegions).value());
+  const auto unknown =
+      RequestDialect::Parse(Head("hulo84.example", "/other/1"), view);
+  ASSERT_FALSE(unknown);
+  EXPECT_EQ(unknown.error().m_code, ErrorCode::kNotFound);
+  const auto early =
+      RequestDialect::Parse(Head("hulo84.example", "/leny950/1"), ViewOf({}));
+  ASSERT_FALSE(early);
+  EXPECT_EQ(early.error().m_code, ErrorCode::kUnavailable);
+}
+
+// Guards against a request that reaches an upstream with another target, id or
+// deadline, or an instance that took over the address.
+TEST(RequestDialect, UpstreamGetsTheRequestUnchanged) {
+  const auto view = ViewOf(ParseOperatorDocument(kDocument, kRegions).value());
+  RequestHead head = Head("JEPU9.example:80", "/puka111/2f?x=%20");
+  head.m_headers.push_back({"Expect-Instance", "forged"});
+  const entry::Route route = RequestDialect::Parse(head, view).value();
+  EXPECT_EQ(route.m_service.m_value, "wuno96b");
+  EXPECT_EQ(route.m_is_repeatable, false);
+  EXPECT_NE(route.m_object, 0U);
+  EXPECT_EQ(route.m_stated_deadline, milliseconds(2500));
+  steering::Selection selection{.m_instance = {"i-7f"}};
+  const RequestHead sent = RequestDialect::UpstreamHead(
+      head, route, milliseconds(900), "", selection);
+  EXPECT_EQ(sent.m_target, "/puka111/2f?x=%20");
+  EXPECT_EQ(net::FindHeader(sent.m_headers, "Deadline-Ms"), "900");
+  EXPECT_EQ(net::FindHeader(sent.m_headers, "Expect-Instance"), "i-7f");
+  EXPECT_EQ(net::FindHeader(sent.m_headers, "Attempt-Id"), "9c41");
+  EXPECT_FALSE(net::FindHeader(sent.m_headers, "Connection"));
+}
+
+// Guards against an answer to another request, and against taking an error for
+// a promise that the request did not run.
+TEST(RequestDialect, ResponsesAreTakenForWhatTheyAre) {
+  const entry::Route route{.m_id = "9c41"};
+  const ResponseHead own{.m_headers = {{"Attempt-Id", "9c41"}}};
+  const ResponseHead other{.m_headers = {{"Attempt-Id", "9c42"}}};
+  const ResponseHead none{};
+  EXPECT_TRUE(RequestDialect::IsResponseTo(own, route));
+  EXPECT_FALSE(RequestDialect::IsResponseTo(other, route));
+  EXPECT_FALSE(RequestDialect::IsResponseTo(none, route));
+  const ResponseHead refused{.m_status = 503,
+                             .m_headers = {{"Not-Executed", "1"}}};
+  const ResponseHead failed{.m_status = 503};
+  const ResponseHead misdirected{.m_status = 421};
+  EXPECT_TRUE(RequestDialect::SaysNotStarted(refused));
+  EXPECT_TRUE(RequestDialect::SaysNotStarted(misdirected));
+  EXPECT_FALSE(RequestDialect::SaysNotStarted(failed));
+  const ResponseHead loaded{.m_headers = {{"Server-Load", "3,2,8"}}};
+  EXPECT_EQ(RequestDialect::ReportedRequests(loaded), 5U);
+  const ResponseHead odd{.m_headers = {{"Server-Load", "3;2"}}};
+  EXPECT_FALSE(RequestDialect::ReportedRequests(odd));
+}
+
+// Guards against a promise of "not run" for a request that may have run.
+TEST(RequestDialect, PromisesOnlyWhatIsTrue) {
+  const entry::Refusal doubtful{.m_status = 503,
+                                .m_verdict = Verdict::kMayHaveRun,
+                                .m_retry_after = milliseconds(1000)};
+  EXPECT_EQ(RequestDialect::RefusalHead(doubtful).m_status, 502);
+  const entry::Refusal refused{.m_status = 503,
+                               .m_retry_after = milliseconds(350)};
+  const ResponseHead head = RequestDialect::RefusalHead(refused);
+  EXPECT_EQ(head.m_status, 503);
+  EXPECT_EQ(net::FindHeader(head.m_headers, "Retry-After"), "0.350");
+}
+
+}  // namespace
+}  // namespace jujube::platform
--- /dev/null
+++ b/tests/process/discovery_test.cc
@@ -0,0 +1,296 @@
+// Hosts that know three seeds and nothing else: founding, growth, lost disks,
+// announcements and requests, with real processes of the platform's program.
+
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "process/process_harness.h"
+#include "process/raw_socket.h"
+
+namespace jujube::process {
+namespace {
+
+using testing::RawSocket;
+
+constexpr std::uint16_t kPeerPort = 7620;
+constexpr std::uint16_t kControlPort = 7649;
+constexpr std::uint16_t kDirectoryPort = 7644;
+constexpr std::uint16_t kRequestPort = 7641;
+constexpr std::uint16_t kReadyPort = 7640;
+constexpr std::size_t kControlHosts = 5;
+constexpr std::size_t kEntryHost = kControlHosts;
+constexpr std::size_t kUpstreamHost = kControlHosts + 1;
+
+// Every host has the same ports on an address of its own, as on the platform.
+std::string AddressOf(std::size_t host) {
+  const int id = ::getpid();
+  return "127." + std::to_string(200 + host) + "." +
+         std::to_string((id >> 8) & 0xff) + "." + std::to_string(id & 0xff);
+}
+
+struct Answer {
+  int m_status = 0;  // 0: no answer
+  std::string m_text;
+};
+
+// One call on a connection of its own.
+Answer Call(const Endpoint& to,
+            const std::string& start,
+            const std::string& headers = "",
+            const std::string& body = "") {
+  const RawSocket socket = RawSocket::Connect(to);
+  socket.Send(start + " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" +
+              headers + "Content-Length: " + std::to_string(body.size()) +
+              "\r\n\r\n" + body);
+  const std::string text = socket.ReadToEnd();
+  constexpr std::size_t kStatusAt = 9;  // after "HTTP/1.1 "
+  if (text.size() < kStatusAt + 3)
+    return {};
+  return {.m_status = std::stoi(text.substr(kStatusAt, 3)), .m_text = text};
+}
+
+// Follows the leader as the platform's callers do.
+Answer CallControl(std::size_t host,
+                   const std::string& method,
+                   const std::string& path,
+                   const std::string& headers = "",
+                   const std::string& body = "") {
+  Endpoint to{.m_address = AddressOf(host), .m_port = kControlPort};
+  Answer answer;
+  for (int i = 0; i < 3; ++i) {
+    answer = Call(to, method + " " + path, headers, body);
+    const std::size_t at = answer.m_text.find("Location: http://");
+    if (answer.m_status != 307 || at == std::string::npos)
+      return answer;
+    const std::size_t start = at + std::string("Location: http://").size();
+    to.m_address =
+        answer.m_text.substr(start, answer.m_text.find(':', start) - start);
+  }
+  return answer;
+}
+
+std::string DocumentText(int number) {
+  return R"({"version":)" + std::to_string(number) +
+         R"(,"routes":[{"name":"r","host":"a.example","path_prefix":"/p/",)"
+         R"("kind":"repeatable","timeout_s":5,"target_latency_s":1,)"
+         R"("priority":0,"service":"s","max_attempts":2}],)"
+         R"("services":[{"name":"s","max_connections":10}],"limits":{}})";
+}
+
+// An upstream that answers each request with its id, one connection at a time.
+class EchoUpstream {
+ public:
+  explicit EchoUpstream(const Endpoint& endpoint)
+      : m_endpoint(endpoint),
+        m_listener(RawSocket::Listen(endpoint, 16)),
+        m_thread([this] { Serve(); }) {}
+  ~EchoUpstream() {
+    m_is_stopped = true;
+    RawSocket::Connect(m_endpoint).Close();
+    m_thread.join();
+  }
+  EchoUpstream(const EchoUpstream&) = delete;
+  EchoUpstream& operator=(const EchoUpstream&) = delete;
+
+ private:
+  void Serve() {
+    while (!m_is_stopped) {
+      const RawSocket socket = m_listener.Accept();
+      if (!socket.ReadUntil("\r\n\r\n"))
+        continue;
+      socket.Send(
+          "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nConnection: close\r\n"
+          "Content-Length: 4\r\n\r\nfuel");
+    }
+  }
+
+  const Endpoint m_endpoint;
+  RawSocket m_listener;
+  std::atomic<bool> m_is_stopped = false;
+  std::thread m_thread;
+};
+
+class DiscoveryTest : public ::testing::Test {
+ protected:
+  DiscoveryTest() {
+    // The key file is named relative to the repository.
+    std::filesystem::current_path(JUJUBE_SOURCE_DIR);
+  }
+
+  std::string Settings(std::size_t host, bool is_first_start) {
+    const std::string address = AddressOf(host);
+    const auto at = [&](std::uint16_t port) {
+      return "\"" + address + ":" + std::to_string(port) + "\"";
+    };
+    std::string seeds;
+    for (std::size_t i = 0; i < 3; ++i) {
+      seeds += std::string(i == 0 ? "" : ",") + "\"" + AddressOf(i) + ":" +
+               std::to_string(kControlPort) + "\"";
+    }
+    const std::string folder = DataFolder(host);
+    std::filesystem::create_directories(folder);
+    return R"({"node_name":"host-)" + std::to_string(host) +
+           R"(","zone":"z","ip":")" + address +
+           R"(","inner_port_range":[7620,7635],"seeds":[)" + seeds +
+           R"(],"zones":{"z":"r"},"bootstrap":)" +
+           (is_first_start ? "true" : "false") + R"(,"data_dir":")" + folder +
+           R"(","heartbeat_s":0.3,"bounds":{"grace_s":6},"listen":{"control":)" +
+           at(kControlPort) + ",\"directory\":" + at(kDirectoryPort) +
+           ",\"front\":" + at(kRequestPort) + ",\"ready\":" + at(kReadyPort) +
+           "}}";
+  }
+
+  std::string DataFolder(std::size_t host) const {
+    return m_folder.File("data-" + std::to_string(host));
+  }
+
+  void Start(std::size_t host, bool is_first_start = true) {
+    const std::string name = "host-" + std::to_string(host);
+    const std::string path =
+        m_folder.Write(name + ".json", Settings(host, is_first_start));
+    ::setenv("JUJUBELIFT_NODE_FILE", path.c_str(), 1);
+    m_hosts[host] = std::make_unique<ChildProcess>(
+        "jujube-platform",
+        std::vector<std::string>{host == kEntryHost ? "entry" : "control"},
+        m_folder.File(name + ".log"));
+  }
+
+  void StartControlHosts() {
+    for (std::size_t i = 0; i < kControlHosts; ++i)
+      Start(i);
+  }
+
+  static void PutUntilAccepted(int number, int base) {
+    WaitUntil("the document is accepted", [&] {
+      return CallControl(0, "POST", "/document",
+                         "Base-Version: " + std::to_string(base) + "\r\n",
+                         DocumentText(number))
+                 .m_status == 200;
+    });
+  }
+
+  bool HasVoters(std::size_t count) const {
+    std::size_t promoted = 0;
+    for (const auto& [host, process] : m_hosts) {
+      const std::string log = process->Log();
+      for (std::size_t at = log.find("step=1"); at != std::string::npos;
+           at = log.find("step=1", at + 1))
+        ++promoted;
+    }
+    return promoted >= count;
+  }
+
+  TempFolder m_folder;
+  std::map<std::size_t, std::unique_ptr<ChildProcess>> m_hosts;
+};
+
+// Guards against a log that only the named seeds hold: two founders may be lost
+// once the other two hosts have joined.
+TEST_F(DiscoveryTest, UnnamedHostsJoinTheLogOfTheSeeds) {
+  StartControlHosts();
+  PutUntilAccepted(3, 0);
+  WaitUntil("both unnamed hosts are voters", [&] { return HasVoters(2); });
+  m_hosts.at(0)->Kill();
+  m_hosts.at(1)->Kill();
+  WaitUntil("the rest still reads the document", [&] {
+    const Answer answer = CallControl(4, "GET", "/document");
+    return answer.m_status == 200 &&
+           answer.m_text.find(DocumentText(3)) != std::string::npos;
+  });
+}
+
+// Guards against two changes on one base, and against a refusal of a document
+// that was accepted but whose answer was lost.
+TEST_F(DiscoveryTest, OneOfTwoDocumentsOnABaseWins) {
+  StartControlHosts();
+  PutUntilAccepted(3, 0);
+  const auto put = [](std::size_t host, int number, const std::string& base) {
+    return CallControl(host, "POST", "/document",
+                       "Base-Version: " + base + "\r\n", DocumentText(number))
+        .m_status;
+  };
+  EXPECT_EQ(put(1, 5, "3"), 200);
+  EXPECT_EQ(put(2, 6, "3"), 412);
+  EXPECT_EQ(put(2, 5, "3"), 200);
+  EXPECT_EQ(put(2, 4, "5"), 412);
+  EXPECT_EQ(put(2, 7, ""), 400);
+  EXPECT_EQ(CallControl(1, "POST", "/document", "Base-Version: 5\r\n",
+                        DocumentText(8).substr(0, 60))
+                .m_status,
+            400);
+  EXPECT_EQ(CallControl(2, "POST", "/zones/z/drain").m_status, 200);
+  EXPECT_EQ(CallControl(2, "POST", "/zones/z/resume").m_status, 200);
+  EXPECT_EQ(CallControl(2, "POST", "/zones/other/drain").m_status, 404);
+}
+
+// Guards against a seed that returns with an empty disk and votes or founds as
+// if it remembered.
+TEST_F(DiscoveryTest, ASeedWithALostDiskJoinsAgain) {
+  StartControlHosts();
+  PutUntilAccepted(3, 0);
+  WaitUntil("both unnamed hosts are voters", [&] { return HasVoters(2); });
+  m_hosts.at(1)->Kill();
+  std::filesystem::remove_all(DataFolder(1));
+  Start(1, false);
+  WaitUntil("the new folder is a voter", [&] { return HasVoters(3); });
+  m_hosts.at(0)->Kill();
+  m_hosts.at(2)->Kill();
+  WaitUntil("a majority with the new folder still reads the document", [&] {
+    const Answer answer = CallControl(1, "GET", "/document");
+    return answer.m_status == 200 &&
+           answer.m_text.find(DocumentText(3)) != std::string::npos;
+  });
+}
+
+// Guards against a leave that is acknowledged before entry hosts act on it, and
+// shows the whole path: announcement, route, request, leave, planned stop.
+TEST_F(DiscoveryTest, EntryHostServesWhatAnnouncesItself) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  const Endpoint upstream_at{.m_address = AddressOf(kUpstreamHost),
+                             .m_port = 8080};
+  const EchoUpstream upstream(upstream_at);
+  const Endpoint entry{.m_address = AddressOf(kEntryHost),
+                       .m_port = kRequestPort};
+  const auto announce = [&](const std::string& state, int sequence) {
+    return Call({.m_address = AddressOf(2), .m_port = kControlPort},
+                "POST /upstreams/i-1/announce", "",
+                R"({"service":"s","address":")" + ToText(upstream_at) +
+                    R"(","zone":"z","slots":3,"state":")" + state +
+                    R"(","cold_left_s":0,"sequence":)" +
+                    std::to_string(sequence) + ",\"born\":5}")
+        .m_status;
+  };
+  WaitUntil("the directory names the entry host", [&] {
+    return Call({.m_address = AddressOf(1), .m_port = kDirectoryPort},
+                "GET /entry-hosts?name=a.example&region=r&zone=z")
+               .m_text.find(ToText(entry)) != std::string::npos;
+  });
+  EXPECT_EQ(announce("serving", 1), 200);
+  const auto request = [&] {
+    return Call(entry, "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n");
+  };
+  WaitUntil("a request is served", [&] { return request().m_status == 200; });
+  EXPECT_EQ(Call(entry, "GET /unknown/1").m_status, 404);
+  WaitUntil("the leave is acknowledged",
+            [&] { return announce("leaving", 2) == 200; });
+  // No wait: the acknowledgement says that the entry host knows.
+  EXPECT_EQ(request().m_status, 503);
+  m_hosts.at(kEntryHost)->Terminate();
+  EXPECT_EQ(m_hosts.at(kEntryHost)->Wait(), 0);
+}
+
+}  // namespace
+}  // namespace jujube::process
