--- a/src/controld/daemon.h
+++ b/src/controld/daemon.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "core/result.h"
 #include "controld/front_end.h"
+#include "core/result.h"
 #include "gen/settings.h"
 
 namespace jujube::controld {
--- a/src/controld/operations.cc
+++ b/src/controld/operations.cc
@@ -92,12 +92,10 @@
        ++i) {
     // The state must be current before a document is judged by it.
     if (!co_await IsCurrent()) {
-      co_return ApplyResult{
-          .m_outcome = {.m_fate = ProposalFate::kNotLeader}};
+      co_return ApplyResult{.m_outcome = {.m_fate = ProposalFate::kNotLeader}};
     }
-    control::ApplyProposal proposal =
-        control::PrepareApply(m_service.Runner().State(), deployment,
-                              operator_name, base_number);
+    control::ApplyProposal proposal = control::PrepareApply(
+        m_service.Runner().State(), deployment, operator_name, base_number);
     if (proposal.m_answer) {
       answer = *proposal.m_answer;
       break;
--- a/src/controld/operator_api.cc
+++ b/src/controld/operator_api.cc
@@ -87,7 +87,8 @@
 OperatorApi::OperatorApi(ControlService& service, HostId host, std::string key)
     : m_service(service),
       m_operations(service),
-      m_host(std::move(host)), m_key(std::move(key)) {}
+      m_host(std::move(host)),
+      m_key(std::move(key)) {}
 
 asio::awaitable<void> OperatorApi::RespondToFate(
     net::HttpExchange& exchange,
@@ -277,8 +278,8 @@
   }
   const RemoveHostCommand command{.m_operator_name = OperatorName(exchange),
                                   .m_host = host.value().m_host};
-  const ProposalOutcome outcome =
-      co_await m_operations.Propose(control::MakeCommand(command, SystemClock().WallNow()));
+  const ProposalOutcome outcome = co_await m_operations.Propose(
+      control::MakeCommand(command, SystemClock().WallNow()));
   if (outcome.m_fate != ProposalFate::kApplied) {
     co_await RespondToFate(exchange, outcome);
     co_return;
@@ -306,7 +307,8 @@
   const auto step =
       static_cast<consensus::MembershipStep>(change.value().m_step);
   const VoterId replica = change.value().m_replica;
-  const ProposalOutcome outcome = co_await m_operations.ProposeMembers(step, replica);
+  const ProposalOutcome outcome =
+      co_await m_operations.ProposeMembers(step, replica);
   if (outcome.m_fate == ProposalFate::kRefused) {
     co_await RespondError(exchange, kConflict, outcome.m_error);
   } else if (outcome.m_fate != ProposalFate::kApplied) {
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -140,7 +140,7 @@
   consensus::StartRegistry m_start_registry;
   std::map<HostId, Introduction> m_introductions;
   std::map<std::uint64_t, VoterId> m_accepted_peers;  // by frame incarnation
-  std::map<HostId, ControlPeer> m_peers;  // hosts known here
+  std::map<HostId, ControlPeer> m_peers;              // hosts known here
   std::map<HostId, std::unique_ptr<net::FrameClient>> m_clients;
   std::map<HostId, MonoTime> m_last_connected;
   bool m_is_changing_members = false;
--- a/src/daemons/entryd.cc
+++ b/src/daemons/entryd.cc
@@ -25,8 +25,7 @@
       jujube::observe::ConfigureLog(settings.m_log, settings.m_host.m_value));
   if (FLAGS_check)
     return jujube::Success();
-  jujube::entry::Daemon daemon(settings, keys,
-                               jujube::entry::NativeFrontEnd());
+  jujube::entry::Daemon daemon(settings, keys, jujube::entry::NativeFrontEnd());
   JUJUBE_TRY(daemon.Start());
   daemon.Run();
   return jujube::Success();
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -82,11 +82,15 @@
   boost::asio::awaitable<bool> SendPart(std::string_view data);
   boost::asio::awaitable<bool> SendRest();
   boost::asio::awaitable<std::optional<ResponseHead>> ReadHead();
-  boost::asio::awaitable<void> TakeResponse(ResponseHead head, bool has_body);
+  boost::asio::awaitable<void> TakeResponse(ResponseHead& head, bool has_body);
   // Reads a part of the body; 0 at the end; nothing on a failure.
   boost::asio::awaitable<std::optional<std::size_t>> ReadPart(
       std::span<char> buffer);
-  boost::asio::awaitable<void> Stream(ResponseHead head, std::string first);
+  // The response is in memory, as far as it arrived.
+  void TakeWhole(const ResponseHead& head,
+                 const std::string& body,
+                 bool is_not_started);
+  boost::asio::awaitable<void> Stream(ResponseHead& head, std::string first);
 
   net::HttpExchange& m_exchange;
   ConnectionPool& m_pool;
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -67,7 +67,7 @@
   }
   response.Set("http.status", head->m_status);
   const bool has_body = request.m_head.m_method != "HEAD";
-  co_await TakeResponse(*std::move(head), has_body);
+  co_await TakeResponse(*head, has_body);
   if (m_result.m_failure)
     response.Fail();
   const bool is_whole =
@@ -202,7 +202,7 @@
 }
 
 template <Dialect D>
-asio::awaitable<void> AttemptRunner<D>::TakeResponse(ResponseHead head,
+asio::awaitable<void> AttemptRunner<D>::TakeResponse(ResponseHead& head,
                                                      bool has_body) {
   if (!D::IsResponseTo(head, m_route)) {
     // Late answer to an earlier request on the connection.
@@ -217,36 +217,43 @@
                    : request::AttemptEvent::kHead);
   std::string body;
   std::array<char, attempt_internal::kPartBytes> part{};
-  while (has_body) {
+  bool is_done = !has_body;
+  bool is_long = false;
+  while (!is_done && !is_long) {
     const std::optional<std::size_t> count = co_await ReadPart(part);
-    if (!count)
-      break;
-    if (*count == 0)
-      break;
-    body.append(part.data(), *count);
-    if (body.size() > kMaxBufferedResponse && !not_started) {
-      co_await Stream(std::move(head), std::move(body));
-      co_return;
-    }
+    is_done = !count || *count == 0;
+    if (!is_done)
+      body.append(part.data(), *count);
+    is_long = body.size() > kMaxBufferedResponse && !not_started;
   }
-  if (not_started) {
+  if (is_long)
+    co_await Stream(head, std::move(body));
+  else
+    TakeWhole(head, body, not_started);
+}
+
+template <Dialect D>
+void AttemptRunner<D>::TakeWhole(const ResponseHead& head,
+                                 const std::string& body,
+                                 bool is_not_started) {
+  if (is_not_started) {
     // The refusal stands even if its body was cut.
     m_result.m_is_other_instance =
         head.m_status == attempt_internal::kMisdirected;
     m_result.m_failure = Failure::kNotStarted;
     m_result.m_error = "the upstream did not start the request";
-    co_return;
+    return;
   }
   if (m_result.m_failure)
-    co_return;
+    return;
   Note(request::AttemptEvent::kAnswerEnd);
   m_result.m_answer = StoredAnswer{.m_status = head.m_status,
                                    .m_headers = D::EndToEnd(head.m_headers),
-                                   .m_body = std::move(body)};
+                                   .m_body = body};
 }
 
 template <Dialect D>
-asio::awaitable<void> AttemptRunner<D>::Stream(ResponseHead head,
+asio::awaitable<void> AttemptRunner<D>::Stream(ResponseHead& head,
                                                std::string first) {
   head.m_headers = D::EndToEnd(head.m_headers);
   const auto caller_gone = [&](const Status& status) {
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -43,6 +43,9 @@
 // Connection, handshake and subscription take four round trips, 300 ms between
 // regions; another change of the parent before that would start them again.
 constexpr milliseconds kSwitchPatience{800};
+// A change with 500 routes takes about a second on a link of 5 Mbit/s that also
+// carries requests.
+constexpr milliseconds kSamePatience{1500};
 
 membership::RegistryLimits MakeRegistryLimits(const EntrySettings& settings) {
   membership::RegistryLimits limits;
@@ -170,6 +173,10 @@
   if (now - *m_behind_since < kFeedGrace ||
       now - m_feed_switched < kSwitchPatience)
     return;
+  // A large change of the present parent may still be under way.
+  if (m_feed_client->ParentEndpoint() == m_newest_host &&
+      now - std::max(*m_behind_since, m_feed_switched) < kSamePatience)
+    return;
   m_feed_switched = now;
   m_feed_client->SwitchTo(m_newest_host);
 }
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -82,7 +82,7 @@
   boost::asio::awaitable<void> RespondToFailure(net::HttpExchange& exchange,
                                                 Request& request,
                                                 const AttemptResult& result);
-  void Finish(Request& request, std::optional<StoredAnswer> answer);
+  void Finish(Request& request, const std::optional<StoredAnswer>& answer);
   void Count(Request& request);
 
   EntryShared& m_shared;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -404,7 +404,7 @@
 
 template <Dialect D, steering::SelectionPolicy P>
 void Forwarder<D, P>::Finish(Request& request,
-                             std::optional<StoredAnswer> answer) {
+                             const std::optional<StoredAnswer>& answer) {
   if (!request.m_is_claimed)
     return;
   m_claims.Finish({.m_host = m_shared.m_settings.m_host,
@@ -413,7 +413,7 @@
                    .m_key = request.m_route.m_key,
                    .m_attempt = request.m_attempt_number,
                    .m_verdict = request.m_verdict,
-                   .m_answer = std::move(answer)});
+                   .m_answer = answer});
 }
 
 // ---- Attempts --------------------------------------------------------------
--- a/src/net/feed_client.cc
+++ b/src/net/feed_client.cc
@@ -194,7 +194,7 @@
 
 void FeedClient::Impl::SwitchTo(const Endpoint& parent) {
   auto& parents = m_options.m_parents;
-  if (m_stopped || parents[m_parent] == parent)
+  if (m_stopped)
     return;
   Log(LogEvent::kFeedParentChanged,
       "from " + ParentName() + " (lags behind) to " + EndpointText(parent));
@@ -302,6 +302,10 @@
   return m_impl->m_parent;
 }
 
+const Endpoint& FeedClient::ParentEndpoint() const {
+  return m_impl->m_options.m_parents[m_impl->m_parent];
+}
+
 bool FeedClient::IsConnected() const {
   return m_impl->m_client && m_impl->m_client->IsConnected();
 }
--- a/src/net/feed_client.h
+++ b/src/net/feed_client.h
@@ -65,12 +65,14 @@
   void Stop();
 
   // Subscribes to this parent next, for example because it has a newer state
-  // than the present one. It need not be one of the options.
+  // than the present one. It need not be one of the options. The present parent
+  // is connected to anew.
   void SwitchTo(const Endpoint& parent);
 
   const feed::Follower& Source() const;
   std::size_t Parent() const;  // position in m_parents
-  bool IsConnected() const;    // to that parent
+  const Endpoint& ParentEndpoint() const;
+  bool IsConnected() const;  // to that parent
 
   // Time since the voters were current, as far as this host knows. Large while
   // it has no parent, and before the first heartbeat.
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -40,6 +40,7 @@
   if (ranked.size() > kMaxEntryPeers)
     ranked.resize(kMaxEntryPeers);
   std::vector<Endpoint> endpoints;
+  endpoints.reserve(ranked.size());
   for (const auto& [rank, endpoint] : ranked)
     endpoints.push_back(endpoint);
   return endpoints;
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -20,11 +20,12 @@
 
 constexpr std::int64_t kUnknownLatency = -1;
 
-// Weight of the instances of a tier for an object: zone, region, remote.
-// Objects are mostly asked for from one place, so a near instance saves bytes
-// between regions and costs no further copies. The part of each region stays
-// the same while the load changes, since the weights do not depend on it.
-constexpr std::array<double, 3> kTierWeight = {8, 4, 1};
+// Weight of the instances of a tier for an object: zone, region, remote. A near
+// instance saves bytes between regions. Within a region all instances count
+// alike: a zone with few of them could not keep the objects of its callers
+// known. The part of each region stays the same while the load changes, since
+// the weights do not depend on it.
+constexpr std::array<double, 3> kTierWeight = {4, 4, 1};
 
 // An instance that failed may have restarted without saying so yet.
 constexpr std::chrono::seconds kColdAfterEjection{3};
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -14,8 +14,9 @@
 
 using std::chrono::milliseconds;
 
-const lookup::ZoneRegions kRegions = {{{"luz-caloocan"}, {"luzon"}},
-                                      {{"vis-mandaue"}, {"visayas"}}};
+lookup::ZoneRegions Regions() {
+  return {{{"luz-caloocan"}, {"luzon"}}, {{"vis-mandaue"}, {"visayas"}}};
+}
 
 constexpr const char* kDocument = R"({"version":7,"routes":[
   {"name":"r-1","host":"jepu9.example","path_prefix":"/puka111/",
@@ -42,13 +43,13 @@
 }
 
 bool IsRefused(const std::string& text) {
-  const Result<Deployment> document = ParseOperatorDocument(text, kRegions);
+  const Result<Deployment> document = ParseOperatorDocument(text, Regions());
   return !document || !config::Check(document.value()).empty();
 }
 
 // Guards against a route that loses its kind, limits or weights on the way.
 TEST(OperatorDocument, IsTranslatedAsAWhole) {
-  const Result<Deployment> parsed = ParseOperatorDocument(kDocument, kRegions);
+  const Result<Deployment> parsed = ParseOperatorDocument(kDocument, Regions());
   ASSERT_TRUE(parsed) << parsed.error().m_message;
   const Deployment& document = parsed.value();
   EXPECT_TRUE(config::Check(document).empty());
@@ -217,7 +218,7 @@
 // Guards against a 404 for a host that knows no configuration yet, which would
 // be final for the caller.
 TEST(RequestDialect, UnknownRoutesAndMissingConfigurationDiffer) {
-  const auto view = ViewOf(ParseOperatorDocument(kDocument, kRegions).value());
+  const auto view = ViewOf(ParseOperatorDocument(kDocument, Regions()).value());
   const auto unknown =
       RequestDialect::Parse(Head("hulo84.example", "/other/1"), view);
   ASSERT_FALSE(unknown);
@@ -231,7 +232,7 @@
 // Guards against a request that reaches an upstream with another target, id or
 // deadline, or an instance that took over the address.
 TEST(RequestDialect, UpstreamGetsTheRequestUnchanged) {
-  const auto view = ViewOf(ParseOperatorDocument(kDocument, kRegions).value());
+  const auto view = ViewOf(ParseOperatorDocument(kDocument, Regions()).value());
   RequestHead head = Head("JEPU9.example:80", "/puka111/2f?x=%20");
   head.m_headers.push_back({"Expect-Instance", "forged"});
   const entry::Route route = RequestDialect::Parse(head, view).value();
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -69,13 +69,16 @@
   Endpoint to{.m_address = AddressOf(host), .m_port = kControlPort};
   Answer answer;
   for (int i = 0; i < 3; ++i) {
-    answer = Call(to, method + " " + path, headers, body);
+    std::string start = method;
+    start += " ";
+    start += path;
+    answer = Call(to, start, headers, body);
     const std::size_t at = answer.m_text.find("Location: http://");
     if (answer.m_status != 307 || at == std::string::npos)
       return answer;
-    const std::size_t start = at + std::string("Location: http://").size();
-    to.m_address =
-        answer.m_text.substr(start, answer.m_text.find(':', start) - start);
+    const std::size_t host_at = at + std::string("Location: http://").size();
+    to.m_address = answer.m_text.substr(
+        host_at, answer.m_text.find(':', host_at) - host_at);
   }
   return answer;
 }
--- a/tests/unit/steering_affinity_test.cc
+++ b/tests/unit/steering_affinity_test.cc
@@ -25,6 +25,7 @@
 
 std::vector<membership::Member> Members(int count) {
   std::vector<membership::Member> members;
+  members.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     members.push_back(SampleMember("t-" + std::to_string(i), "luz-a"));
   return members;
