Pass a copy of the head to a streamed response

Cause: clang-tidy of the templates stops at a move in a co_await expression, which it takes for a use in a later loop iteration. Ruled out: a real use after the move; the function ends with the stream.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -260,7 +260,7 @@
     Fail(Failure::kCallerGone, status.error());
   };
   m_result.m_is_head_forwarded = true;
-  Status status = co_await m_exchange.Begin(std::move(head));
+  Status status = co_await m_exchange.Begin(head);
   if (status)
     status = co_await m_exchange.Write(first);
   if (!status) {
