--- a/src/ctl/command.cc
+++ b/src/ctl/command.cc
@@ -16,6 +16,9 @@
   std::size_t m_max;  // greatest number of operands
 };
 
+// An entry host and the control hosts for each request, with room to spare.
+constexpr std::size_t kMaxLogs = 4096;
+
 constexpr std::array kForms{
     Form{CtlCommand::kValidate, "FILE", 1, 1},
     Form{CtlCommand::kApply, "FILE", 1, 1},
@@ -26,7 +29,8 @@
     Form{CtlCommand::kResume, "KIND NAME", 2, 2},
     Form{CtlCommand::kRemoveHost, "HOST", 1, 1},
     Form{CtlCommand::kMembers, "[add|promote|remove HOST FOLDER]", 0, 3},
-    Form{CtlCommand::kConfig, "", 0, 0}};
+    Form{CtlCommand::kConfig, "", 0, 0},
+    Form{CtlCommand::kExplain, "REQUEST LOG...", 2, kMaxLogs + 1}};
 
 constexpr std::array kDrainKinds{DrainKind::kInstance, DrainKind::kEntryHost,
                                  DrainKind::kAvailabilityZone,
@@ -113,6 +117,10 @@
         JUJUBE_TRY(command.m_member, ParseMember(operands));
       }
       return command;
+    case CtlCommand::kExplain:
+      command.m_request = operands[0];
+      command.m_logs.assign(operands.begin() + 1, operands.end());
+      return command;
     case CtlCommand::kStatus:
     case CtlCommand::kHistory:
     case CtlCommand::kConfig:
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -8,6 +8,7 @@
 //   status | history | config | members
 //   drain KIND NAME | resume KIND NAME
 //   remove-host HOST
+//   explain REQUEST LOG...
 //   members add HOST FOLDER | members promote ... | members remove ...
 //
 // KIND is instance, entry-host, availability-zone or region.
@@ -18,6 +19,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/result.h"
 #include "gen/control_status.h"
@@ -32,6 +34,8 @@
   std::optional<Drain> m_drain;          // with drain and resume
   std::optional<HostId> m_host;          // with remove-host
   std::optional<MemberChange> m_member;  // with a change of members
+  std::string m_request;                 // with explain: its id
+  std::vector<std::string> m_logs;       // with explain: files
 
   friend auto operator<=>(const Command&, const Command&) = default;
 };
--- /dev/null
+++ b/src/ctl/run.cc
@@ -0,0 +1,36 @@
+#include "ctl/run.h"
+
+#include "core/json_document.h"
+#include "ctl/explain.h"
+
+namespace jujube::ctl {
+namespace {
+
+// A day of a busy host, since the volume of lines is bounded.
+constexpr std::size_t kMaxLogBytes = 1U << 30U;
+
+}  // namespace
+
+RunResult RunExplain(const Command& command) {
+  RunResult result{.m_report = {.m_command = command.m_kind}};
+  std::vector<std::string> logs;
+  for (const std::string& path : command.m_logs) {
+    Result<std::string> text = ReadFile(path, kMaxLogBytes);
+    if (!text) {
+      result.m_report.m_result = ExitCode::kBadInput;
+      result.m_report.m_message = text.error().m_message;
+      return result;
+    }
+    logs.push_back(std::move(text).value());
+  }
+  for (const std::string& line : ExplainRequest(command.m_request, logs))
+    result.m_document += line + "\n";
+  if (result.m_document.empty()) {
+    result.m_report.m_message =
+        "no line names the request: an upstream answered it at once, or the "
+        "logs of its entry host are missing";
+  }
+  return result;
+}
+
+}  // namespace jujube::ctl
--- a/src/ctl/run.h
+++ b/src/ctl/run.h
@@ -22,7 +22,8 @@
 
 struct RunResult {
   CtlReport m_report;
-  std::string m_document;  // with config: the document in force
+  std::string m_document;  // with config: the document in force; with explain:
+                           // the lines
 
   friend auto operator<=>(const RunResult&, const RunResult&) = default;
 };
@@ -87,6 +88,9 @@
   return {waits ? WaitInForce(transport, options, std::move(report)) : report};
 }
 
+// Of explain: reads the log files and joins what they say about the request.
+RunResult RunExplain(const Command& command);
+
 // Of config and diff: reads the document in force, then compares it.
 template <Transport T>
 RunResult RunConfig(T& transport,
@@ -124,6 +128,8 @@
   switch (command.m_kind) {
     case CtlCommand::kValidate:
       return {ReportOfValidation(command, LoadDocument(command.m_file))};
+    case CtlCommand::kExplain:
+      return RunExplain(command);
     case CtlCommand::kApply:
       return RunApply(transport, command, options);
     case CtlCommand::kDiff:
--- a/src/daemons/ctl.cc
+++ b/src/daemons/ctl.cc
@@ -104,10 +104,11 @@
   return options;
 }
 
-// Only validate works without a control host.
+// Validate and explain work without a control host.
 jujube::Result<jujube::ctl::CtlOptions> OptionsFor(
     const jujube::ctl::Command& command) {
-  if (command.m_kind == jujube::CtlCommand::kValidate)
+  if (command.m_kind == jujube::CtlCommand::kValidate ||
+      command.m_kind == jujube::CtlCommand::kExplain)
     return jujube::ctl::CtlOptions{};
   return OptionsFromFlags();
 }
--- a/src/gen/ctl.cc
+++ b/src/gen/ctl.cc
@@ -7,9 +7,9 @@
 namespace jujube {
 
 std::string_view ToString(CtlCommand value) {
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "Validate", "Apply",  "Diff",       "Status",  "History",
-      "Drain",    "Resume", "RemoveHost", "Members", "Config"};
+  static constexpr std::array<std::string_view, 11> kNames = {
+      "Validate", "Apply",      "Diff",    "Status", "History", "Drain",
+      "Resume",   "RemoveHost", "Members", "Config", "Explain"};
   const auto index = static_cast<std::size_t>(value);
   return index < kNames.size() ? kNames[index] : "invalid";
 }
--- a/src/gen/ctl.h
+++ b/src/gen/ctl.h
@@ -33,6 +33,7 @@
   kRemoveHost,  // states that an entry host is gone for good
   kMembers,     // lists or changes the replicas of the log
   kConfig,      // prints the document in force
+  kExplain,     // prints what log files say about a request
 };
 
 // Name of a value as it stands in JSON and logs, such as "Validate".
--- a/src/gen/ctl_json.cc
+++ b/src/gen/ctl_json.cc
@@ -16,7 +16,7 @@
                const JsonPath& path,
                Problems& problems,
                CtlCommand& value) {
-  ParseEnum(json, path, problems, 10, value);
+  ParseEnum(json, path, problems, 11, value);
 }
 
 boost::json::value ToJson(const CtlCommand& value) {
--- a/src/steering/upstream_view.h
+++ b/src/steering/upstream_view.h
@@ -44,7 +44,7 @@
   const Deployment& m_deployment;
   const std::vector<Drain>& m_drains;
   AvailabilityZoneId m_zone;  // of this host
-  MonoTime m_now = {};
+  MonoTime m_now = {};        // notes the ends of drains
 
   HostId m_host = {};                      // this host
   std::vector<HostId> m_entry_hosts = {};  // that may be sending too
--- a/tests/unit/ctl_command_test.cc
+++ b/tests/unit/ctl_command_test.cc
@@ -23,6 +23,11 @@
   EXPECT_EQ(Parse({"resume", "availability-zone", "luz-a"}).value().m_drain,
             (Drain{.m_kind = DrainKind::kAvailabilityZone, .m_name = "luz-a"}));
   EXPECT_EQ(Parse({"remove-host", "e1"}).value().m_host, HostId{"e1"});
+  EXPECT_EQ(Parse({"explain", "ab", "e.log", "c.log"}).value(),
+            (Command{.m_kind = CtlCommand::kExplain,
+                     .m_request = "ab",
+                     .m_logs = {"e.log", "c.log"}}));
+  EXPECT_FALSE(Parse({"explain", "ab"}));
   EXPECT_FALSE(Parse({"members"}).value().m_member);
   EXPECT_EQ(
       Parse({"members", "promote", "c1", "18446744073709551615"})
