Let the test of an unreachable instance fail without the connect timeout

Cause: with the timeout set to ten minutes the test still passed: requests one after the other never chose the instance that does not accept.

Change: 14 requests at the same time, more than the other instance has slots for; none may end at its deadline.

--- a/tests/process/request_test.cc
+++ b/tests/process/request_test.cc
@@ -80,9 +80,17 @@
   RequestAnnouncer announcer(*system, 1,
                              system->AnnouncementOf("stuck", stuck));
   system->WaitUntilServing(13);
-  constexpr int kRequests = 20;
-  for (int i = 0; i < kRequests; ++i)
-    EXPECT_EQ(system->Send(0, {.m_target = "/s/log/x"}).m_status, 200);
+  // More requests at the same time than the other instance has slots for.
+  constexpr int kRequests = 14;
+  std::vector<std::future<Answer>> answers;
+  answers.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
+    answers.push_back(std::async(std::launch::async, [&] {
+      return system->Send(0, {.m_target = "/s/log/x?delay_ms=100"});
+    }));
+  }
+  for (std::future<Answer>& answer : answers)
+    EXPECT_NE(answer.get().m_status, 504);
 }
 
 // ---- Claims ----------------------------------------------------------------
