--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -4,7 +4,9 @@
 
 #include "entry/attempt_runner.h"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 
 #include "entry/refusal.h"
@@ -18,6 +20,10 @@
 
 inline constexpr std::size_t kPartBytes = 16384;
 inline constexpr std::uint16_t kMisdirected = 421;
+
+// A connection takes two trips of the link; a busy instance accepts late.
+inline constexpr int kConnectTrips = 4;
+
 inline bool FailedByDeadline(const Error& error) {
   return error.m_code == ErrorCode::kTimeout;
 }
@@ -40,14 +46,13 @@
 
 template <Dialect D>
 asio::awaitable<AttemptResult> AttemptRunner<D>::Run(
-    const Endpoint& endpoint,
-    std::uint64_t incarnation,
+    const steering::Selection& selection,
     const OutgoingRequest& request,
     bool is_repeatable) {
   m_is_repeatable = is_repeatable;
   // Each scope ends with its step or, on a failure, with this function.
   SpanScope connect = m_span.Child("connect");
-  if (!co_await Open(endpoint, incarnation)) {
+  if (!co_await Open(selection)) {
     connect.Fail();
     co_return std::move(m_result);
   }
@@ -60,7 +65,8 @@
   }
   send.End();
   SpanScope response = m_span.Child("response");
-  std::optional<ResponseHead> head = co_await ReadHead();
+  std::optional<ResponseHead> head =
+      co_await ReadHead(*selection.m_slot.Counters());
   if (!head) {
     response.Fail();
     co_return std::move(m_result);
@@ -73,17 +79,20 @@
   const bool is_whole =
       !m_result.m_failure || *m_result.m_failure == Failure::kNotStarted;
   if (is_whole && m_connection != nullptr) {
-    m_pool.Return(endpoint, incarnation, std::move(m_connection),
-                  MonoClock::now());
+    m_pool.Return(selection.m_endpoint, selection.m_incarnation,
+                  std::move(m_connection), MonoClock::now());
   }
   co_return std::move(m_result);
 }
 
 template <Dialect D>
-asio::awaitable<bool> AttemptRunner<D>::Open(const Endpoint& endpoint,
-                                             std::uint64_t incarnation) {
-  if (m_is_repeatable || D::kReusesForAtMostOnce)
-    m_connection = m_pool.TakeIdle(endpoint, incarnation, MonoClock::now());
+asio::awaitable<bool> AttemptRunner<D>::Open(
+    const steering::Selection& selection) {
+  const MonoTime now = MonoClock::now();
+  if (m_is_repeatable || D::kReusesForAtMostOnce) {
+    m_connection =
+        m_pool.TakeIdle(selection.m_endpoint, selection.m_incarnation, now);
+  }
   if (m_connection != nullptr) {
     m_result.m_attempt.m_is_reused_connection = true;
     m_connection->SetDeadline(m_deadline);
@@ -92,11 +101,20 @@
   m_connection = m_pool.MakeNew();
   if (D::kTakesCloseDelimited)
     m_connection->TakeCloseDelimited();
+  const MonoTime limit = now + m_connect_timeout +
+                         attempt_internal::kConnectTrips * selection.m_delay;
+  m_connection->SetDeadline(std::min(m_deadline, limit));
+  const Status connected = co_await m_connection->Connect(selection.m_endpoint);
   m_connection->SetDeadline(m_deadline);
-  const Status connected = co_await m_connection->Connect(endpoint);
-  if (!connected)
-    Fail(Failure::kConnectFailed, connected.error());
-  co_return connected.has_value();
+  if (connected)
+    co_return true;
+  Fail(Failure::kConnectFailed, connected.error());
+  m_result.m_is_silent = limit < m_deadline &&
+                         attempt_internal::FailedByDeadline(connected.error());
+  // Another instance may still be tried.
+  if (m_result.m_is_silent)
+    m_result.m_failure = Failure::kConnectFailed;
+  co_return false;
 }
 
 template <Dialect D>
@@ -109,6 +127,12 @@
          MakeError(ErrorCode::kTimeout, "the link had no room in time"));
     co_return false;
   }
+  // Time may have passed in earlier attempts and for the connection.
+  if (m_exchange.IsCallerGone()) {
+    Fail(Failure::kCallerGone,
+         MakeError(ErrorCode::kIo, "the caller closed its connection"));
+    co_return false;
+  }
   Note(request::AttemptEvent::kSendStarted);
   const Status sent = co_await m_connection->SendHead(request.m_head);
   if (!sent) {
@@ -161,10 +185,16 @@
 }
 
 template <Dialect D>
-asio::awaitable<std::optional<ResponseHead>> AttemptRunner<D>::ReadHead() {
+asio::awaitable<std::optional<ResponseHead>> AttemptRunner<D>::ReadHead(
+    const steering::InstanceCounters& counters) {
   bool is_caller_gone = false;
   net::HttpConnection* connection = m_connection.get();
+  std::optional<AttemptWatch::Entry> watched;
   if (m_is_repeatable) {
+    watched.emplace(m_watch, counters, [this] {
+      m_result.m_is_abandoned = true;
+      m_connection->Close();
+    });
     m_exchange.Watch([&is_caller_gone, connection] {
       is_caller_gone = true;
       connection->Close();
@@ -173,11 +203,17 @@
   Result<ResponseHead> head = co_await m_connection->ReadHead();
   if (m_is_repeatable)
     m_exchange.Unwatch();
-  if (head)
+  watched.reset();
+  if (head) {
+    m_result.m_is_abandoned = false;
     co_return std::move(head).value();
+  }
   if (is_caller_gone) {
     Fail(Failure::kCallerGone,
          MakeError(ErrorCode::kIo, "the caller closed its connection"));
+  } else if (m_result.m_is_abandoned) {
+    Fail(Failure::kAnswerCut,
+         MakeError(ErrorCode::kIo, "the instance was set aside meanwhile"));
   } else {
     Fail(Failure::kAnswerCut, head.error());
   }
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -340,6 +340,16 @@
   }
 }
 
+// Part of this host of the retries that all entry hosts may save up.
+std::uint32_t EntryControl::RetryBurst() const {
+  const auto all = m_shared.m_settings.m_retry_burst_of_all_hosts;
+  if (!all)
+    return steering::RetryBudget::kDefaultBurst;
+  const std::size_t hosts = std::max<std::size_t>(m_entry_hosts.size(), 1);
+  return std::min(steering::RetryBudget::kDefaultBurst,
+                  static_cast<std::uint32_t>(*all / hosts));
+}
+
 void EntryControl::Publish() {
   m_is_dirty = false;
   m_published_registry = m_registry.Version();
@@ -350,11 +360,13 @@
       .m_deployment = m_state->m_deployment,
       .m_drains = drains,
       .m_zone = m_shared.m_settings.m_availability_zone,
+      .m_now = MonoClock::now(),
       .m_host = m_shared.m_settings.m_host,
       .m_entry_hosts = m_entry_hosts,
       .m_queue_factor = m_shared.m_settings.m_discovers_control
                             ? steering::AffinityPolicy::kQueueFactor
                             : 1,
+      .m_retry_burst = RetryBurst(),
       .m_grants = HasAllotments() ? std::optional(m_grants) : std::nullopt};
   m_upstreams = std::make_shared<const steering::UpstreamView>(
       steering::BuildView(inputs, m_counters));
@@ -410,6 +422,8 @@
   }
   AdvanceDrain(now);
   FollowNewerFeed(now);
+  if (m_feed_client && !m_behind_since)
+    m_shared.m_current_at.store(now - m_feed_client->OriginAge());
   UpdatePresence();
   if (m_is_dirty)
     Publish();
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -69,6 +69,7 @@
   void UseState(std::shared_ptr<const FeedState> state);
   void RebuildLookup();
   void TrackLimits();
+  std::uint32_t RetryBurst() const;
   void Publish();
   void MarkDirty() { m_is_dirty = true; }
   bool HasControl() const;
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 
+#include "core/clock.h"
 #include "entry/serving_view.h"
 #include "gen/settings.h"
 #include "gen/types.h"
@@ -23,6 +24,8 @@
   const EntrySettings m_settings;
   const std::uint64_t m_incarnation;  // grows with each start of the daemon
   rcu::Cell<ServingView> m_view;      // published by the control thread
+  // Last time at which no newer configuration was known to exist.
+  std::atomic<MonoTime> m_current_at{MonoTime{}};
   std::atomic<std::uint32_t> m_in_progress = 0;   // requests being carried
   std::atomic<std::uint64_t> m_next_attempt = 1;  // numbers claims
 
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -15,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "entry/attempt_runner.h"
+#include "entry/attempt_watch.h"
 #include "entry/connection_pool.h"
 #include "entry/dialect.h"
 #include "entry/entry_shared.h"
@@ -45,6 +46,8 @@
  private:
   struct Request;
 
+  // A newer configuration may be in force elsewhere.
+  bool MayBeOutdated() const;
   // Sends the refusal and logs it; `request` may be null before it is parsed.
   boost::asio::awaitable<void> Refuse(net::HttpExchange& exchange,
                                       const Request* request,
@@ -88,6 +91,7 @@
   EntryShared& m_shared;
   ClaimClient& m_claims;
   ConnectionPool m_pool;
+  AttemptWatch m_watch;
   Tracer m_tracer;
   RequestMetrics m_metrics;
   std::size_t m_next_refusal = 0;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -32,6 +32,15 @@
 // a part of its body was taken from the caller.
 inline constexpr std::size_t kMaxBufferedBody = 65536;
 
+// Connections that a request tries in vain: the first instances of an object's
+// order may all have stood in a zone that lost power.
+inline constexpr std::uint32_t kMaxUnreachable = 4;
+
+// The feed confirms every second that nothing newer exists. A path without a
+// route is not denied on older knowledge, since the route may have been added
+// meanwhile; changes have 2 s to come into force.
+inline constexpr std::chrono::milliseconds kCurrentFor{1700};
+
 inline constexpr std::uint16_t kFirstServerError = 500;
 inline constexpr std::uint16_t kUnavailable = 503;
 // Slots come free and configurations arrive within about a second.
@@ -55,8 +64,13 @@
     return is_error ? steering::Outcome::kFailure : steering::Outcome::kSuccess;
   }
   if (*result.m_failure == request::AttemptFailure::kNotStarted)
-    return result.m_is_other_instance ? steering::Outcome::kFailure
+    return result.m_is_other_instance ? steering::Outcome::kGone
                                       : steering::Outcome::kShed;
+  if (result.m_is_silent)
+    return steering::Outcome::kUnreachable;
+  // It was set aside for what other requests saw.
+  if (result.m_is_abandoned)
+    return std::nullopt;
   const request::FailureDecision decision = request::Decide(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
   if (decision.m_counts_as_failure)
@@ -127,7 +141,8 @@
   std::uint64_t m_attempt_number = 0;  // of the claim
   OutgoingRequest m_outgoing;
   std::vector<InstanceId> m_tried;
-  std::uint32_t m_attempts = 0;
+  std::uint32_t m_attempts = 0;          // that may have reached an instance
+  std::uint32_t m_unreachable = 0;       // attempts at silent instances
   Verdict m_verdict = Verdict::kNotRun;  // of all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
@@ -153,6 +168,7 @@
     : m_shared(shared),
       m_claims(claims),
       m_pool(executor, shared.m_settings.m_pool_per_instance),
+      m_watch(executor),
       m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
       m_random(seed + 1),
       m_selector(seed) {}
@@ -166,6 +182,10 @@
   if (!route) {
     Refusal refusal{.m_status = entry::StatusOf(route.error().m_code),
                     .m_reason = route.error().m_message};
+    if (route.error().m_code == ErrorCode::kNotFound && MayBeOutdated()) {
+      refusal.m_status = forwarder_internal::kUnavailable;
+      refusal.m_reason += "; the configuration here may be out of date";
+    }
     if (refusal.m_status == forwarder_internal::kUnavailable)
       refusal.m_retry_after = forwarder_internal::kRetryAfter;
     co_await Refuse(exchange, nullptr, std::move(refusal));
@@ -207,6 +227,13 @@
   m_shared.m_in_progress.fetch_sub(1, std::memory_order_relaxed);
 }
 
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::MayBeOutdated() const {
+  return m_shared.m_settings.m_discovers_control &&
+         MonoClock::now() - m_shared.m_current_at.load() >
+             forwarder_internal::kCurrentFor;
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 void Forwarder<D, P>::Count(Request& request) {
   request.m_span.Set("verdict", VerdictText(request.m_verdict));
@@ -284,6 +311,9 @@
         .m_reason = "there is no service " + request.m_route.m_service.m_value};
   }
   request.m_service = service->m_service;
+  request.m_service.m_retry_budget_permille =
+      m_shared.m_settings.m_retry_budget_permille.value_or(
+          request.m_service.m_retry_budget_permille);
   request.m_budget = service->m_budget;
   request.m_weights = view.m_upstreams->m_weights;
   request.m_region = view.m_region;
@@ -438,13 +468,17 @@
       co_await RespondWithoutUpstream(exchange, request);
       co_return;
     }
-    if (++request.m_attempts > 1)
+    if (!request.m_tried.empty())
       m_metrics.Of(request.m_route.m_service).m_retries.Add();
     request.m_tried.push_back(selection->m_instance);
     AttemptResult result =
         co_await Attempt(exchange, request, *selection, attempt);
     request.m_region_permit.Reset();
     request.m_slot_permit.Reset();
+    if (result.m_is_silent)
+      ++request.m_unreachable;
+    else
+      ++request.m_attempts;
     request.m_verdict = request::Combine(request.m_verdict,
                                          request::VerdictOf(result.m_attempt));
     attempt.Set("verdict", VerdictText(request::VerdictOf(result.m_attempt)));
@@ -550,11 +584,11 @@
       exchange.Head(), request.m_route, remaining,
       m_tracer.Outgoing(span, exchange.Head().m_headers), selection);
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
-  AttemptRunner<D> runner(exchange, m_pool, pacer, request.m_route,
-                          request.m_deadline.m_at, span);
-  AttemptResult result =
-      co_await runner.Run(selection.m_endpoint, selection.m_incarnation,
-                          request.m_outgoing, request.m_is_repeatable);
+  AttemptRunner<D> runner(exchange, m_pool, m_watch, pacer, request.m_route,
+                          request.m_deadline.m_at,
+                          m_shared.m_settings.m_connect_timeout, span);
+  AttemptResult result = co_await runner.Run(selection, request.m_outgoing,
+                                             request.m_is_repeatable);
   const MonoTime ended = MonoClock::now();
   const std::optional<steering::Outcome> outcome =
       forwarder_internal::OutcomeOf(result);
@@ -592,6 +626,13 @@
 
 template <Dialect D, steering::SelectionPolicy P>
 bool Forwarder<D, P>::TakeRetry(Request& request) {
+  if (request.m_unreachable >= forwarder_internal::kMaxUnreachable)
+    return false;
+  // Nothing arrived anywhere, so a retry adds no load. An instance that refuses
+  // connections may be overloaded.
+  if (request.m_attempts == 0 && request.m_unreachable > 0 &&
+      request::Remaining(request.m_deadline, MonoClock::now()).count() > 0)
+    return true;
   const steering::RetryAnswer answer = steering::DecideRetry(
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
@@ -625,7 +666,7 @@
     net::HttpExchange& exchange,
     Request& request) {
   Finish(request, std::nullopt);
-  if (request.m_attempts == 0)
+  if (request.m_tried.empty())
     m_metrics.Refused(RefusalCause::kNoSlot);
   const Refusal refusal{.m_status = 503,
                         .m_verdict = request.m_verdict,
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -85,8 +85,19 @@
   std::chrono::milliseconds m_drain_limit{
       60000};  // longest wait of a planned stop for work in progress (from 0,
                // at most 3600000)
-  LogSettings m_log;      // logging
-  TraceSettings m_trace;  // tracing
+  std::chrono::milliseconds m_connect_timeout{
+      250};  // longest wait for a connection to an instance, beyond four trips
+             // of the link; another instance is tried then (from 1, at most
+             // 600000)
+  std::optional<std::uint16_t>
+      m_retry_budget_permille;  // retries allowed per thousand requests, in
+                                // place of the document's figure
+  std::optional<std::uint32_t>
+      m_retry_burst_of_all_hosts;  // retries of a service beyond the budget
+                                   // that all entry hosts may make together in
+                                   // a window; absent: each saves up ten
+  LogSettings m_log;               // logging
+  TraceSettings m_trace;           // tracing
 
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
 };
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -56,6 +56,10 @@
   asio::awaitable<Status> End();
   bool Started() const;  // a response was begun
 
+  // Whether the caller has closed its connection. Only with no operation in
+  // progress on the exchange.
+  bool IsCallerGone() const;
+
   // Calls back once when the caller closes its connection, until Unwatch. Only
   // after the body was read, and with no other operation on the exchange.
   void Watch(std::function<void()> on_disconnect);
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -245,6 +245,13 @@
   co_return status;
 }
 
+bool HttpExchange::IsCallerGone() const {
+  char byte = 0;
+  const ssize_t count = ::recv(m_state.m_stream.socket().native_handle(), &byte,
+                               1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpExchange::Watch(std::function<void()> on_disconnect) {
   auto watching = std::make_shared<bool>(true);
   m_state.m_watching = watching;
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -1,7 +1,6 @@
 #include "steering/candidate_collector.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 #include <optional>
@@ -20,15 +19,9 @@
 
 constexpr std::int64_t kUnknownLatency = -1;
 
-// Weight of the instances of a tier for an object: zone, region, remote. A near
-// instance saves bytes between regions. Within a region all instances count
-// alike: a zone with few of them could not keep the objects of its callers
-// known. The part of each region stays the same while the load changes, since
-// the weights do not depend on it.
-constexpr std::array<double, 3> kTierWeight = {4, 4, 1};
-
-// An instance that failed may have restarted without saying so yet.
-constexpr std::chrono::seconds kColdAfterEjection{3};
+// An instance that failed or was drained may have restarted meanwhile. Its next
+// announcement, which is due within half of this time, says whether it is cold.
+constexpr std::chrono::seconds kColdUntilAnnounced{3};
 
 // Progress of the slow start, in permille.
 std::int64_t WarmthOf(const Upstream& upstream,
@@ -63,11 +56,13 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
-// Just started, or back after a failure that may have been a restart.
+// Just started, or back after a failure or drain that may hide a restart.
 bool IsCold(const Upstream& upstream, const Observation& seen, MonoTime now) {
   return now < upstream.m_member.m_cold_until ||
          (seen.m_ejection_count > 0 &&
-          now - seen.m_ejected_until < kColdAfterEjection);
+          now - seen.m_ejected_until < kColdUntilAnnounced) ||
+         (seen.m_drain_ended != MonoTime{} &&
+          now - seen.m_drain_ended < kColdUntilAnnounced);
 }
 
 bool MayStartCold(const Upstream& upstream, MonoTime now) {
@@ -80,6 +75,7 @@
                  const SelectionContext& context) {
   return MayServe(upstream, context.m_now) &&
          context.m_now >= seen.m_ejected_until &&
+         context.m_now >= seen.m_gone_until &&
          !Contains(context.m_tried,
                    upstream.m_member.m_announcement.m_instance) &&
          !Contains(context.m_closed, upstream.m_region) &&
@@ -103,7 +99,7 @@
   constexpr double kRange = 18446744073709551616.0;  // 2^64
   const double part =
       (static_cast<double>(MixHash(object, upstream.m_hash)) + 1) / kRange;
-  return kTierWeight[static_cast<std::size_t>(upstream.m_tier)] /
+  return upstream.m_object_weight /
          std::max(-std::log(part), std::numeric_limits<double>::min());
 }
 
@@ -180,7 +176,8 @@
   SlotTotals totals;
   for (const Upstream& upstream : service.m_upstreams) {
     const Observation seen = upstream.m_counters->Observe();
-    if (!MayServe(upstream, now) || now < seen.m_ejected_until)
+    if (!MayServe(upstream, now) || now < seen.m_ejected_until ||
+        now < seen.m_gone_until)
       continue;
     totals.m_usable += UsableSlots(upstream.m_grant, now);
     totals.m_in_use += seen.m_in_progress;
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -7,6 +7,14 @@
 
 constexpr std::int64_t kWhole = 1000;  // permille
 
+// Two connections in a row that were neither taken nor refused reach
+// EjectionLimits::m_failures_in_row: each costs a request the connect timeout.
+constexpr std::uint32_t kUnreachableWeight = 3;
+
+// The control hosts drop an instance that stopped to announce itself within
+// this time. A false sign of its end is forgotten after it.
+constexpr std::chrono::seconds kGoneMemory{10};
+
 }  // namespace
 
 bool InstanceCounters::TryAcquire(std::uint32_t limit) {
@@ -44,7 +52,14 @@
   }
   if (outcome == Outcome::kFailure)
     m_failures_in_row.fetch_add(1, std::memory_order_relaxed);
-  m_failure_permille.Add(outcome == Outcome::kFailure ? kWhole : 0);
+  if (outcome == Outcome::kUnreachable) {
+    m_failures_in_row.fetch_add(kUnreachableWeight, std::memory_order_relaxed);
+  }
+  if (outcome == Outcome::kGone)
+    m_gone_until.store(now + kGoneMemory, std::memory_order_relaxed);
+  const bool is_failure =
+      outcome == Outcome::kFailure || outcome == Outcome::kUnreachable;
+  m_failure_permille.Add(is_failure ? kWhole : 0);
   m_shed_permille.Add(outcome == Outcome::kShed ? kWhole : 0);
   m_outcomes.fetch_add(1, std::memory_order_relaxed);
   m_last_outcome.store(now, std::memory_order_relaxed);
@@ -67,6 +82,8 @@
       .m_outcomes = m_outcomes.load(std::memory_order_relaxed),
       .m_last_outcome = m_last_outcome.load(std::memory_order_relaxed),
       .m_ejected_until = m_ejected_until.load(std::memory_order_acquire),
+      .m_gone_until = m_gone_until.load(std::memory_order_relaxed),
+      .m_drain_ended = m_drain_ended.load(std::memory_order_relaxed),
       .m_others = m_others.load(std::memory_order_relaxed),
       .m_others_at = m_others_at.load(std::memory_order_relaxed),
       .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed)};
@@ -75,6 +92,12 @@
   return seen;
 }
 
+void InstanceCounters::SetDraining(bool is_draining, MonoTime now) {
+  if (m_was_draining.exchange(is_draining, std::memory_order_relaxed) &&
+      !is_draining)
+    m_drain_ended.store(now, std::memory_order_relaxed);
+}
+
 void InstanceCounters::Eject(MonoTime until) {
   m_ejection_count.fetch_add(1, std::memory_order_relaxed);
   m_failures_in_row.store(0, std::memory_order_relaxed);
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -42,6 +42,15 @@
   // The fields are read one by one and may belong to different instants.
   Observation Observe() const;
 
+  // Ejected or gone: nothing may be sent there, and what was sent is lost.
+  bool IsSetAside(MonoTime now) const {
+    return now < m_ejected_until.load(std::memory_order_acquire) ||
+           now < m_gone_until.load(std::memory_order_relaxed);
+  }
+
+  // Notes whether the instance is drained; only from the control thread.
+  void SetDraining(bool is_draining, MonoTime now);
+
   // Keeps the instance out of selections and starts its averages afresh.
   void Eject(MonoTime until);
 
@@ -58,6 +67,9 @@
   std::atomic<MonoTime> m_others_at{MonoTime{}};
   std::atomic<MonoTime> m_last_outcome{MonoTime{}};
   std::atomic<MonoTime> m_ejected_until{MonoTime{}};
+  std::atomic<MonoTime> m_gone_until{MonoTime{}};
+  std::atomic<MonoTime> m_drain_ended{MonoTime{}};
+  std::atomic<bool> m_was_draining = false;
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/src/steering/outlier_ejector.cc
+++ b/src/steering/outlier_ejector.cc
@@ -46,7 +46,7 @@
       continue;
     ++present;
     const Observation seen = upstream.m_counters->Observe();
-    if (now < seen.m_ejected_until)
+    if (now < seen.m_ejected_until || now < seen.m_gone_until)
       ++ejected;
     else if (IsFailing(seen, limits))
       failing.emplace_back(seen, &upstream);
--- a/src/steering/upstream.h
+++ b/src/steering/upstream.h
@@ -11,12 +11,10 @@
 #include "membership/member.h"
 #include "steering/instance_counters.h"
 #include "steering/slot_grant.h"
+#include "steering/tier.h"
 
 namespace jujube::steering {
 
-// Distance of an instance from this host.
-enum class Tier : std::uint8_t { kZone, kRegion, kRemote };
-
 struct Upstream {
   membership::Member m_member;        // announcement and its times
   RegionId m_region;                  // of its availability zone
@@ -24,6 +22,7 @@
   std::chrono::milliseconds m_delay;  // one way
   SlotGrant m_grant;                  // slots that this host may use
   std::uint64_t m_hash = 0;           // of its name, for rendezvous hashing
+  double m_object_weight = 1;         // its part of the objects, ObjectWeight
   // Least time between requests while it is cold; absent: none may be sent.
   std::optional<std::chrono::nanoseconds> m_cold_spacing =
       std::chrono::nanoseconds(0);
--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -1,9 +1,11 @@
 #include "steering/upstream_view.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/hash.h"
 #include "steering/cold_share.h"
+#include "steering/object_weight.h"
 
 namespace jujube::steering {
 namespace {
@@ -74,6 +76,10 @@
                      : LinkDelay(inputs.m_deployment,
                                  own ? own->m_region : RegionId{}, region);
   const std::uint64_t hash = Hash64(announcement.m_instance.m_value);
+  const bool is_draining = IsDraining(inputs.m_drains, announcement, region);
+  std::shared_ptr<InstanceCounters> shared =
+      counters.Of(membership::KeyOf(announcement), announcement.m_incarnation);
+  shared->SetDraining(is_draining, inputs.m_now);
   return {.m_member = member,
           .m_region = region,
           .m_tier = is_same_zone ? Tier::kZone : remote,
@@ -82,9 +88,18 @@
           .m_hash = hash,
           .m_cold_spacing = ColdSpacing(service.m_cold_requests_per_1000s, hash,
                                         inputs.m_host, inputs.m_entry_hosts),
-          .m_is_draining = IsDraining(inputs.m_drains, announcement, region),
-          .m_counters = counters.Of(membership::KeyOf(announcement),
-                                    announcement.m_incarnation)};
+          .m_is_draining = is_draining,
+          .m_counters = std::move(shared)};
+}
+
+void WeighObjects(ServiceUpstreams& service) {
+  std::uint32_t zone_slots = 0;
+  for (const Upstream& upstream : service.m_upstreams) {
+    if (upstream.m_tier == Tier::kZone)
+      zone_slots += upstream.m_member.m_announcement.m_slots;
+  }
+  for (Upstream& upstream : service.m_upstreams)
+    upstream.m_object_weight = ObjectWeight(upstream.m_tier, zone_slots);
 }
 
 bool NameIsLess(const ServiceUpstreams& service, const ServiceId& name) {
@@ -101,6 +116,7 @@
     view.m_services.push_back({.m_service = service,
                                .m_upstreams = {},
                                .m_budget = counters.BudgetOf(service.m_name)});
+    view.m_services.back().m_budget->SetBurst(inputs.m_retry_burst);
   }
   std::sort(view.m_services.begin(), view.m_services.end(),
             [](const auto& a, const auto& b) {
@@ -122,6 +138,8 @@
     service->m_upstreams.push_back(MakeUpstream(
         inputs, service->m_service, member, zone->m_region, counters));
   }
+  for (ServiceUpstreams& service : view.m_services)
+    WeighObjects(service);
   return view;
 }
 
--- a/src/steering/upstream_view.h
+++ b/src/steering/upstream_view.h
@@ -44,11 +44,14 @@
   const Deployment& m_deployment;
   const std::vector<Drain>& m_drains;
   AvailabilityZoneId m_zone;  // of this host
+  MonoTime m_now = {};
 
   HostId m_host = {};                      // this host
   std::vector<HostId> m_entry_hosts = {};  // that may be sending too
   // Requests that may be at an instance for each of its slots, without grants.
   std::uint32_t m_queue_factor = 1;
+  // Retries of a service that this host may save up.
+  std::uint32_t m_retry_burst = RetryBudget::kDefaultBurst;
 
   // Slots of each instance that this host may use; an instance without a line
   // has none. Nothing: no allotments yet, all announced slots are usable.
--- a/tests/process/request_fixture.h
+++ b/tests/process/request_fixture.h
@@ -32,6 +32,7 @@
   std::size_t m_controls = 1;
   std::size_t m_entries = 2;
   std::uint32_t m_region_cap = 60;  // requests in progress
+  std::chrono::milliseconds m_connect_timeout{250};
 };
 
 // What a caller received; status 0 if there was no whole response.
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,94 @@
+"""Callers of the soak: they keep connections open and check each answer."""
+
+import asyncio
+import json
+import random
+import time
+
+from http_io import call, encode, read_message
+from upstream import body_of
+
+DEADLINE_S = 3.0
+# A fault that has just ended may still explain a lost answer.
+CALM_S = 3.0
+
+
+class Caller:
+    def __init__(self, name, soak, seed):
+        self.name = name
+        self.soak = soak
+        self.random = random.Random(seed)
+        self.sent = 0
+        self._connections = {}  # entry host name -> (reader, writer)
+
+    async def run(self):
+        while not self.soak.is_over():
+            entry = await self._choose_entry()
+            if entry is not None:
+                await self._send(entry)
+            await asyncio.sleep(self.random.uniform(0.0, 0.1))
+
+    async def _choose_entry(self):
+        """Asks the directory now and then, as callers keep an answer for a while."""
+        if self.random.random() < 0.1 or not self._connections:
+            control = self.random.choice(self.soak.directory)
+            answer = await call(control, "GET /entry-hosts?name=a.example&zone=z-a&region=r-1",
+                                {}, timeout_s=1.0)
+            if answer is None or answer.status != 200:
+                return None
+            named = json.loads(answer.body)["addresses"]
+            return self.soak.entry_by_address(self.random.choice(named))
+        return self.random.choice(list(self._connections))
+
+    async def _send(self, entry):
+        ledger = self.soak.ledger
+        self.sent += 1
+        request_id = f"{self.name}-{self.sent}"
+        is_repeatable = self.random.random() < 0.5
+        body = b"" if is_repeatable else self.random.randbytes(self.random.randrange(1, 9000))
+        ledger.expect(request_id, "repeatable" if is_repeatable else "at_most_once", body)
+        start = "GET /p/x HTTP/1.1" if is_repeatable else "POST /q/x HTTP/1.1"
+        data = encode(start, {
+            "Host": "a.example", "Attempt-Id": request_id,
+            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Affinity-Key": str(self.random.randrange(20))}, body)
+        began = time.monotonic()
+        answer = await self._exchange(entry, data)
+        ledger.answered(request_id, answer.status if answer else 0)
+        if answer is None:
+            self._check_cut(entry, request_id, began)
+        else:
+            self._check(request_id, answer)
+
+    async def _exchange(self, entry, data):
+        try:
+            if entry not in self._connections:
+                self._connections[entry] = await asyncio.wait_for(
+                    asyncio.open_connection(*self.soak.entry_proxy(entry)), 1.0)
+            reader, writer = self._connections[entry]
+            writer.write(data)
+            answer = await asyncio.wait_for(read_message(reader), DEADLINE_S + 1.0)
+        except (OSError, EOFError, ValueError, asyncio.TimeoutError):
+            answer = None
+        if answer is None or answer.headers.get("connection", "").lower() == "close":
+            _, writer = self._connections.pop(entry, (None, None))
+            if writer is not None:
+                writer.close()
+        return answer
+
+    def _check(self, request_id, answer):
+        ledger = self.soak.ledger
+        instance = answer.headers.get("server-seal")
+        if answer.status != 200:
+            return
+        if answer.headers.get("attempt-id") != request_id:
+            ledger.broken("answer of another request", request_id)
+        elif instance is None or answer.body != body_of(request_id, instance):
+            ledger.broken("cut or changed answer", request_id)
+        elif all(name != instance for name, _ in ledger.runs.get(request_id, [])):
+            ledger.broken("answer without a run", request_id)
+
+    def _check_cut(self, entry, request_id, began):
+        # A request that crosses the close of its connection was not passed on.
+        if request_id in self.soak.ledger.runs and self.soak.is_calm_since(began - CALM_S):
+            self.soak.ledger.broken("request cut by planned work", f"{request_id} at {entry}")
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,297 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the real programs on loopback.
+
+Starts the control and entry hosts as processes, and callers, upstreams and
+operators in this process. Injects faults from outside through relays and
+signals, and checks what callers and upstreams see. The faults and their times
+follow from the seed; the interleaving of the processes does not.
+
+    tests/soak/soak.py --seed 7 --seconds 60 [--entries 4] [--planned-only]
+
+Exit code 0: every promise was kept. The folder of a failed seed is kept.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import random
+import re
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+import faults
+from callers import Caller
+from http_io import call
+from ledger import Ledger
+from operators import Operators
+from proxy import Proxy
+from system import CONTROL, DIRECTORY, READY, REQUESTS, ZONES, System
+from upstream import Upstream
+
+CONTROLS = 5
+# Losses of control hosts at once that the system has to bear.
+MAX_LOST = 2
+# Guard against hanging; far above what a busy machine needs.
+HANG_LIMIT_S = 120
+CATCH_UP_S = 4
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.options = options
+        self.ledger = Ledger()
+        self.system = System(folder, options.build, CONTROLS, options.entries)
+        self.proxies = []
+        self.upstreams = []
+        self.directory = []
+        self.control = []
+        self._entry_proxies = {}
+        self._lost = asyncio.Semaphore(MAX_LOST)
+        self._owners = {host.name: asyncio.Lock() for host in self.system.hosts()}
+        self._disturbances = 0
+        self._calm_from = 0.0
+        self._end = 0.0
+        self._abandoned = False
+        self._next_upstream = 0
+        self._upstream_hosts = {}
+
+    # ---- What callers, operators and faults ask
+
+    def is_over(self):
+        return time.monotonic() > self._end
+
+    def is_abandoned(self):
+        return self._abandoned
+
+    def is_calm_since(self, moment):
+        return self._disturbances == 0 and self._calm_from < moment
+
+    def entry_proxy(self, name):
+        return self._entry_proxies[name].listen
+
+    def entry_by_address(self, text):
+        address = text.split(":")[0]
+        return next(entry.name for entry in self.system.entries if entry.address == address)
+
+    def control_by_location(self, location):
+        address = re.search(r"//([0-9.]+)", location).group(1)
+        index = next(i for i, host in enumerate(self.system.controls)
+                     if host.address == address)
+        return self.control[index]
+
+    @contextlib.asynccontextmanager
+    async def owned(self, host):
+        """One fault at a time for a process."""
+        async with self._owners[host.name]:
+            yield
+
+    @contextlib.asynccontextmanager
+    async def lost_control(self, host):
+        async with self._lost, self.owned(host):
+            yield
+            await asyncio.sleep(CATCH_UP_S)
+
+    @contextlib.asynccontextmanager
+    async def all_controls(self):
+        async with contextlib.AsyncExitStack() as stack:
+            for host in self.system.controls:
+                await stack.enter_async_context(self.owned(host))
+            yield
+
+    async def until_member(self, host):
+        """Until the host answers look-ups again; CATCH_UP_S follows."""
+        deadline = time.monotonic() + HANG_LIMIT_S
+        while time.monotonic() < deadline and not self.is_over():
+            answer = await call((host.address, DIRECTORY), "GET /entry-hosts?zone=z-a", {})
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.2)
+
+    async def replace(self, upstream, keeps_address):
+        if self.is_over() or upstream not in self.upstreams:
+            return
+        self.upstreams.remove(upstream)
+        await self.add_upstream(upstream.zone, upstream.listen if keeps_address else None)
+
+    async def add_upstream(self, zone, listen=None):
+        index = self._next_upstream
+        self._next_upstream += 1
+        if listen is None:
+            # Addresses are used again after a while, as on the platform.
+            listen = (self.system.address(100 + index % 100), 8080)
+        proxy = self._upstream_hosts.get(listen)
+        if proxy is None:
+            proxy = await self._add_proxy((listen[0], 8081), listen)
+            self._upstream_hosts[listen] = proxy
+        upstream = Upstream(f"i-{index}", zone, "s", listen, proxy.listen, self.control,
+                            self.ledger, self.options.seed * 1000 + index)
+        await upstream.start()
+        self.upstreams.append(upstream)
+
+    async def _add_proxy(self, listen, target):
+        proxy = Proxy(listen, target)
+        await proxy.start()
+        self.proxies.append(proxy)
+        return proxy
+
+    # ---- The run
+
+    async def run(self):
+        self.system.start()
+        try:
+            await self._set_up()
+            await self._play()
+            await self._recover()
+            self._check_terms()
+        finally:
+            self._abandoned = True
+            for upstream in self.upstreams:
+                upstream.crash()
+            for proxy in self.proxies:
+                await proxy.stop()
+            await self.system.stop()
+            # Lets the tasks of the connections end.
+            await asyncio.sleep(0.2)
+
+    async def _set_up(self):
+        offset = 1000  # ports of the relays
+        for host in self.system.controls:
+            for port, known in ((CONTROL, self.control), (DIRECTORY, self.directory)):
+                proxy = await self._add_proxy((host.address, port + offset),
+                                              (host.address, port))
+                known.append(proxy.listen)
+        for host in self.system.entries:
+            self._entry_proxies[host.name] = await self._add_proxy(
+                (host.address, REQUESTS + offset), (host.address, REQUESTS))
+        self._end = time.monotonic() + HANG_LIMIT_S
+        self.operators = Operators(self, self.options.seed)
+        if await self.operators.put(1, 0, "a") != 200:
+            raise RuntimeError("the first document was not accepted")
+        self.ledger.acknowledged = 1
+        for index in range(self.options.upstreams):
+            await self.add_upstream(list(ZONES)[index % len(ZONES)])
+        await self._until_served("first service")
+
+    async def _until_served(self, what):
+        deadline = time.monotonic() + HANG_LIMIT_S
+        for entry in self.system.entries:
+            while True:
+                request_id = f"check-{entry.name}-{time.monotonic_ns()}"
+                self.ledger.expect(request_id, "repeatable")
+                answer = await call((entry.address, REQUESTS), "GET /p/x",
+                                    {"Attempt-Id": request_id, "Deadline-Ms": "2000"})
+                ready = await call((entry.address, READY), "GET /ready", {})
+                if answer is not None and answer.status == 200 and \
+                        ready is not None and ready.status == 200:
+                    break
+                if time.monotonic() > deadline:
+                    self.ledger.broken("no recovery", f"{what} at {entry.name}")
+                    return
+                await asyncio.sleep(0.1)
+
+    async def _play(self):
+        self._end = time.monotonic() + self.options.seconds
+        callers = [Caller(f"c{i}", self, self.options.seed * 100 + i)
+                   for i in range(self.options.callers)]
+        work = [asyncio.create_task(caller.run()) for caller in callers]
+        work.append(asyncio.create_task(self.operators.run()))
+        strikes = [asyncio.create_task(self._strike_in_series(lane))
+                   for lane in range(self.options.lanes)]
+        while not self.is_over():
+            self.system.check_ends(self.ledger)
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*strikes)
+        await asyncio.gather(*work)
+
+    async def _strike_in_series(self, lane):
+        rng = random.Random(f"{self.options.seed}/{lane}")
+        kinds = faults.PLANNED if self.options.planned_only else \
+            faults.PLANNED + faults.UNPLANNED
+        while not self.is_over():
+            await asyncio.sleep(rng.uniform(0.1, 3.0))
+            fault = rng.choice(kinds)
+            print(f"{self.options.seconds - (self._end - time.monotonic()):7.2f} s "
+                  f"{fault.__name__}", flush=True)
+            is_planned = fault in faults.PLANNED
+            self._disturbances += 0 if is_planned else 1
+            try:
+                await fault(self, rng)
+            finally:
+                if not is_planned:
+                    self._disturbances -= 1
+                    self._calm_from = time.monotonic()
+
+    async def _recover(self):
+        """All faults have ended: everything acknowledged is there, and served."""
+        for proxy in self.proxies:
+            proxy.set_mode("pass")
+        for host in self.system.hosts():
+            host.thaw()
+            if not host.is_running():
+                host.start(False)
+        await self._until_served("service")
+        deadline = time.monotonic() + HANG_LIMIT_S
+        while not await self.operators.read_newest():
+            if time.monotonic() > deadline:
+                self.ledger.broken("lost configuration", self.ledger.acknowledged)
+                return
+            await asyncio.sleep(0.2)
+
+    def _check_terms(self):
+        """At most one leader a term, by the logs of the control hosts."""
+        leaders = {}
+        for host in self.system.controls:
+            log = (self.system.folder / f"{host.name}.log").read_text(errors="replace")
+            for term in re.findall(r" BecameLeader .*?term=(\d+)", log):
+                leaders.setdefault(int(term), set()).add(host.name)
+        for term, hosts in leaders.items():
+            if len(hosts) > 1:
+                self.ledger.broken("two leaders in a term", f"{term}: {sorted(hosts)}")
+        self.ledger.counts["terms with a leader"] = len(leaders)
+
+
+def parse_options():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--upstreams", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--lanes", type=int, default=3, help="series of faults at once")
+    parser.add_argument("--planned-only", action="store_true",
+                        help="planned work only: no request may be cut")
+    parser.add_argument("--keep", action="store_true", help="keep the logs in any case")
+    parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path("build"),
+                        help="folder of the programs")
+    options = parser.parse_args()
+    options.build = options.build.resolve()
+    return options
+
+
+def main():
+    options = parse_options()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"jujube-soak-{options.seed}-"))
+    soak = Soak(options, folder)
+    asyncio.run(soak.run())
+    print(f"seed {options.seed}:", ", ".join(
+        f"{name}: {count}" for name, count in sorted(soak.ledger.counts.items())))
+    if options.keep:
+        print(f"logs in {folder}")
+    if not soak.ledger.violations:
+        if not options.keep:
+            shutil.rmtree(folder)
+        print(f"seed {options.seed}: every promise was kept")
+        return 0
+    for violation in soak.ledger.violations[:20]:
+        print(f"BROKEN {violation}")
+    print(f"seed {options.seed}: {len(soak.ledger.violations)} broken; logs in {folder}")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,119 @@
+"""The processes of the system under the soak, each host on an address of its own."""
+
+import asyncio
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ZONES = {"z-a": "r-1", "z-b": "r-1", "z-c": "r-2"}
+PEER, CONTROL, DIRECTORY, REQUESTS, READY = 7620, 7649, 7644, 7641, 7640
+
+
+class Host:
+    """A host with one process of the platform's program."""
+
+    def __init__(self, system, role, index):
+        self.system = system
+        self.role = role
+        self.name = f"{role}-{index}"
+        self.address = system.address(10 + index if role == "control" else 40 + index)
+        self.zone = list(ZONES)[index % len(ZONES)]
+        self.data = system.folder / f"data-{self.name}"
+        self.process = None
+        self.is_stopping = False  # by a signal of the soak
+        self.is_frozen = False
+
+    def start(self, is_first):
+        self.data.mkdir(exist_ok=True)
+        settings = self.system.folder / f"{self.name}.json"
+        at = {name: f"{self.address}:{port}" for name, port in (
+            ("control", CONTROL), ("directory", DIRECTORY),
+            ("front", REQUESTS), ("ready", READY))}
+        settings.write_text(json.dumps({
+            "node_name": self.name, "zone": self.zone, "ip": self.address,
+            "inner_port_range": [PEER, PEER + 15], "zones": ZONES, "bootstrap": is_first,
+            "seeds": [f"{self.system.address(10 + i)}:{CONTROL}" for i in range(3)],
+            "data_dir": str(self.data), "heartbeat_s": 0.3, "listen": at,
+            "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "retry_budget_slack": 60}}))
+        with open(self.system.folder / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [self.system.build / "jujube-platform", self.role], cwd=ROOT, stdout=log,
+                stderr=log, env={**os.environ, "JUJUBELIFT_NODE_FILE": str(settings)})
+        self.is_stopping = False
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+    def freeze(self):
+        self.is_frozen = True
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.signal(signal.SIGCONT)
+        self.is_frozen = False
+
+    async def kill(self):
+        self.is_stopping = True
+        self.signal(signal.SIGKILL)
+        await asyncio.to_thread(self.process.wait)
+
+    async def terminate(self):
+        """SIGTERM, and SIGKILL after the grace of the settings."""
+        self.is_stopping = True
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.to_thread(self.process.wait, 6)
+        except subprocess.TimeoutExpired:
+            await self.kill()
+
+    def lose_disk(self):
+        shutil.rmtree(self.data, ignore_errors=True)
+
+    def tear_last_write(self, count):
+        """Cuts the end of the newest segment, as a power loss during a write does."""
+        segments = self.data.rglob("log-*")
+        newest = max(segments, key=lambda p: p.stat().st_mtime, default=None)
+        if newest is not None:
+            with open(newest, "ab") as segment:
+                segment.write(b"\x7f" * count)
+
+
+class System:
+    def __init__(self, folder, build, controls, entries):
+        self.folder = folder
+        self.build = build
+        # Runs of the soak at the same time use other addresses.
+        self._base = os.getpid() % 60000
+        self.controls = [Host(self, "control", i) for i in range(controls)]
+        self.entries = [Host(self, "entry", i) for i in range(entries)]
+
+    def address(self, host):
+        return f"127.{100 + self._base // 256 % 100}.{self._base % 256}.{host}"
+
+    def hosts(self):
+        return self.controls + self.entries
+
+    def start(self):
+        for host in self.hosts():
+            host.start(True)
+
+    async def stop(self):
+        for host in self.hosts():
+            if host.is_running():
+                host.thaw()
+                await host.kill()
+
+    def check_ends(self, ledger):
+        for host in self.hosts():
+            if not host.is_running() and not host.is_stopping:
+                ledger.broken("process ended by itself",
+                              f"{host.name}, exit code {host.process.returncode}")
+                host.is_stopping = True
--- a/tests/unit/steering_failure_test.cc
+++ b/tests/unit/steering_failure_test.cc
@@ -106,6 +106,69 @@
   EXPECT_TRUE(EvaluateOutliers(view.m_services[0], {}, At(0)).empty());
 }
 
+// Guards against requests that go on being sent to an instance without power:
+// each of them waits for a connection, and only then goes elsewhere.
+TEST(OutlierEjection, TwoLostConnectionsAreEnough) {
+  CounterTable counters;
+  const UpstreamView view = ViewOf(3, counters);
+  const ServiceUpstreams& service = view.m_services[0];
+  InstanceCounters& lost = *service.m_upstreams[2].m_counters;
+  lost.Record(Outcome::kUnreachable, milliseconds(250), At(0));
+  EXPECT_TRUE(EvaluateOutliers(service, {}, At(0)).empty());
+  lost.Record(Outcome::kUnreachable, milliseconds(250), At(1));
+  EXPECT_EQ(EvaluateOutliers(service, {}, At(1)).size(), 1U);
+  EXPECT_TRUE(lost.IsSetAside(At(1)));
+}
+
+// Guards against a full load on instances that became cold while their zone was
+// drained: their announcements say so only up to an interval later.
+TEST(ColdInstances, CountAsColdAfterADrain) {
+  CounterTable counters;
+  Deployment deployment = SampleDeployment();
+  deployment.m_services[0].m_cold_requests_per_1000s = 2900;
+  deployment.m_services[0].m_slow_start = milliseconds(0);
+  const auto view_at = [&](int ms, const std::vector<Drain>& drains) {
+    membership::Member member = SampleMember("a", "luz-a");
+    member.m_expires = At(100000000);
+    const membership::RegistrySnapshot registry{.m_version = 1,
+                                                .m_members = {member}};
+    return BuildView({.m_registry = registry,
+                      .m_deployment = deployment,
+                      .m_drains = drains,
+                      .m_zone = {"luz-a"},
+                      .m_now = At(ms)},
+                     counters);
+  };
+  const std::vector<Drain> drained = {
+      {.m_kind = DrainKind::kAvailabilityZone, .m_name = "luz-a"}};
+  const auto is_cold = [&](const UpstreamView& view, int ms) {
+    std::vector<Candidate> candidates;
+    CollectCandidates(view.m_services[0], {.m_now = At(ms)}, candidates);
+    return !candidates.empty() && candidates[0].m_is_cold;
+  };
+  EXPECT_FALSE(is_cold(view_at(0, {}), 0));
+  view_at(1000, drained);
+  const UpstreamView back = view_at(9000, {});
+  EXPECT_TRUE(is_cold(back, 9000));
+  EXPECT_TRUE(is_cold(view_at(10000, {}), 11999));
+  EXPECT_FALSE(is_cold(back, 12000));
+}
+
+// Guards against sending more requests to an address that another instance has
+// taken over, also when many instances were replaced at once.
+TEST(OutlierEjection, AnInstanceThatIsGoneIsLeftOutAtOnce) {
+  CounterTable counters;
+  const UpstreamView view = ViewOf(3, counters);
+  const ServiceUpstreams& service = view.m_services[0];
+  for (std::size_t i = 0; i < 2; ++i)
+    service.m_upstreams[i].m_counters->Record(Outcome::kGone, milliseconds(1),
+                                              At(0));
+  EXPECT_EQ(CandidateCount(service, At(1)), 1U);
+  EXPECT_EQ(CountSlots(service, At(1)).m_usable, 3U);
+  EXPECT_TRUE(EvaluateOutliers(service, {}, At(1)).empty());
+  EXPECT_EQ(CandidateCount(service, At(10000)), 3U);
+}
+
 RetryFacts Retryable() {
   return {.m_verdict = Verdict::kNotRun,
           .m_remaining = milliseconds(100),
@@ -173,6 +236,19 @@
   EXPECT_EQ(retries, 10);
 }
 
+// Guards against entry hosts that together save up more retries than the
+// service may get.
+TEST(RetryBudget, BurstFollowsTheNumberOfHosts) {
+  RetryBudget budget;
+  budget.SetBurst(4);
+  for (int i = 0; i < 1000; ++i)
+    budget.OnRequest(180);
+  int retries = 0;
+  while (budget.TryWithdraw(180))
+    ++retries;
+  EXPECT_EQ(retries, 4);
+}
+
 AdmissionFacts Admissible() {
   return {.m_slots = {.m_usable = 9, .m_in_use = 8},
           .m_host_cap = 100,
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -46,3 +46,7 @@
 run_tests build-tsan '^[A-Z]'
 echo "all tests"
 run_tests build '.'
+echo "fault soak: its oracle, and short runs with fixed seeds"
+(cd tests/soak && python3 -m unittest -q ledger_test)
+tests/soak/soak.py --build build --seed 1 --seconds 15 --planned-only | tail -n 2
+tests/soak/soak.py --build build --seed 2 --seconds 15 | tail -n 2
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,7 +8,7 @@
 echo "format: clean"
 # Only the adapter knows the names of the users' platform.
 platform_names='JUJUBELIFT_NODE_FILE|beat_endpoint|Server-Seal|Not-Executed|Cold-Ms|cold_left_s|Expect-Instance|Affinity-Key|Attempt-Id|include_in_tolerance|weighted_services|fleetbench|non_idempotent'
-if git grep -nE "\b($platform_names)\b" -- src schema bench tests ':!tests/platform' ':!tests/process/discovery_test.cc'; then
+if git grep -nE "\b($platform_names)\b" -- src schema bench tests ':!tests/platform' ':!tests/soak' ':!tests/process/discovery_test.cc'; then
   echo "names of the platform outside platform/ and deploy/"
   exit 1
 fi
