Log introductions of control hosts and refused membership changes

An operator could not tell why a control host with a new data folder was not admitted: neither its introduction nor a refused membership change was logged, and ForeignFolder did not name the sender.

PeerIntroduced (228) and MembershipChangeRefused (229) are new; a refusal is logged once for each change and reason, since the leader plans it again every 200 ms. ForeignFolder (225) names the sender.

--- a/src/consensus/actions.h
+++ b/src/consensus/actions.h
@@ -100,7 +100,8 @@
   std::vector<RefusedRequest> m_refused;
   // Tokens of completed reads; the state after m_apply is current for them.
   std::vector<std::uint64_t> m_completed_reads;
-  bool m_wrong_folder = false;  // dropped a message to another folder identity
+  // Sender of a dropped message to another folder identity of this host.
+  std::optional<VoterId> m_wrong_folder_sender;
 
   friend bool operator==(const Actions&, const Actions&) = default;
 };
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -117,7 +117,7 @@
 
 void Replica::DispatchMessage(const Message& message) {
   if (ReceiverOf(message) != m_self) {
-    m_actions.m_wrong_folder = true;
+    m_actions.m_wrong_folder_sender = SenderOf(message);
     return;
   }
   // A vote request raises the term only after further checks. A granted
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -74,9 +74,10 @@
 // 4. Membership
 //
 // A replica is identified by its host and the identity of its data folder.
-// Messages to another folder on the same host are dropped (m_wrong_folder).
-// With an empty folder, call DecideFounding (consensus/founding.h) first.
-// ChangeMembership is refused while the previous change is not committed:
+// Messages to another folder on the same host are dropped
+// (m_wrong_folder_sender). With an empty folder, call DecideFounding
+// (consensus/founding.h) first. ChangeMembership is refused while the previous
+// change is not committed:
 //   - kAddLearner: the replica starts to receive the log;
 //   - kPromote: refused until the learner's durable log includes the entry that
 //     added it, and with it everything committed before; also refused while
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -211,6 +211,10 @@
     return;
   }
   m_has_unsaved_peer_starts = false;
+  observe::Log(LogEvent::kPeerIntroduced,
+               {{"host", introduction.m_replica.m_host.m_value},
+                {"folder", introduction.m_replica.m_folder},
+                {"starts", introduction.m_starts}});
   m_introduced_peers[source.m_incarnation] = introduction.m_replica;
   m_introductions[introduction.m_replica.m_host] = introduction;
   if (m_settings.m_discovers_peers)
@@ -327,14 +331,36 @@
   ChangeMembership(change->m_step, change->m_replica,
                    [this, change](const ProposalOutcome& outcome) {
                      m_is_changing_members = false;
-                     if (outcome.m_status != ProposalStatus::kApplied)
-                       return;
-                     observe::Log(LogEvent::kMembershipChanged,
-                                  {{"host", change->m_replica.m_host.m_value},
-                                   {"step", static_cast<int>(change->m_step)}});
+                     LogMembershipChange(*change, outcome);
                    });
 }
 
+// A refused change is planned again every few hundred milliseconds, so a
+// refusal is logged only if it differs from the last one.
+void ReplicaRunner::LogMembershipChange(
+    const consensus::MembershipChange& change,
+    const ProposalOutcome& outcome) {
+  const std::string& host = change.m_replica.m_host.m_value;
+  const int step = static_cast<int>(change.m_step);
+  if (outcome.m_status == ProposalStatus::kApplied) {
+    m_last_membership_refusal.clear();
+    observe::Log(LogEvent::kMembershipChanged,
+                 {{"host", host},
+                  {"folder", change.m_replica.m_folder},
+                  {"step", step}});
+    return;
+  }
+  const std::string refusal =
+      host + " " + std::to_string(step) + " " + outcome.m_error;
+  if (std::exchange(m_last_membership_refusal, refusal) == refusal)
+    return;
+  observe::Log(LogEvent::kMembershipChangeRefused,
+               {{"host", host},
+                {"folder", change.m_replica.m_folder},
+                {"step", step},
+                {"error", outcome.m_error}});
+}
+
 std::vector<Endpoint> ReplicaRunner::MemberEndpoints() const {
   std::vector<Endpoint> endpoints;
   const Voters members = ConsensusStatus().m_voters;
@@ -419,8 +445,10 @@
     if (!read.empty())
       read.mapped()(true);
   }
-  if (actions.m_wrong_folder)
-    observe::Log(LogEvent::kForeignFolder, {});
+  if (actions.m_wrong_folder_sender) {
+    observe::Log(LogEvent::kForeignFolder,
+                 {{"sender", actions.m_wrong_folder_sender->m_host.m_value}});
+  }
   MaybeTakeSnapshot();
 }
 
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -31,6 +31,10 @@
 #include "net/frame_options.h"
 #include "storage/recovered_log.h"
 
+namespace jujube::consensus {
+struct MembershipChange;
+}  // namespace jujube::consensus
+
 namespace jujube::controld {
 
 enum class ProposalStatus : std::uint8_t {
@@ -119,6 +123,8 @@
   void ConnectToMembers();
   void AddDiscoveredPeer(const Introduction& introduction);
   bool IsConnectedAndIntroduced(const HostId& host) const;
+  void LogMembershipChange(const consensus::MembershipChange& change,
+                           const ProposalOutcome& outcome);
   void TryFounding();
   void StartReplica();
   // Events that arrive while another one is processed are queued, so that
@@ -150,6 +156,7 @@
   std::map<HostId, std::unique_ptr<net::FrameClient>> m_clients;
   std::map<HostId, MonoTime> m_last_connected;
   bool m_is_changing_members = false;
+  std::string m_last_membership_refusal;  // empty after a change
   std::optional<consensus::Replica> m_replica;
   std::deque<consensus::Event> m_event_queue;
   bool m_is_stepping = false;
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -81,6 +81,12 @@
     case LogEvent::kLeadershipTransferred:
       return {227, LogLevel::kInfo, "LeadershipTransferred",
               "leadership transfer started"};
+    case LogEvent::kPeerIntroduced:
+      return {228, LogLevel::kInfo, "PeerIntroduced",
+              "control host introduced itself"};
+    case LogEvent::kMembershipChangeRefused:
+      return {229, LogLevel::kWarning, "MembershipChangeRefused",
+              "membership change refused"};
     case LogEvent::kDocumentAccepted:
       return {300, LogLevel::kInfo, "DocumentAccepted", "document accepted"};
     case LogEvent::kDocumentConflict:
--- a/tests/unit/consensus_cluster.h
+++ b/tests/unit/consensus_cluster.h
@@ -261,7 +261,7 @@
                            actions.m_accepted.end());
     node.m_refused.insert(node.m_refused.end(), actions.m_refused.begin(),
                           actions.m_refused.end());
-    node.m_wrong_folder = node.m_wrong_folder || actions.m_wrong_folder;
+    node.m_wrong_folder |= actions.m_wrong_folder_sender.has_value();
   }
 
   void CheckRole(std::size_t i, const RoleChange& change) {
--- a/tests/unit/consensus_replica_test.cc
+++ b/tests/unit/consensus_replica_test.cc
@@ -125,7 +125,7 @@
   const VoterId other_folder{{"c0"}, 555};
   const Actions actions = replica.Step(
       kStart, MessageReceived{VoteRequest{voter_b, other_folder, 7}});
-  EXPECT_TRUE(actions.m_wrong_folder);
+  EXPECT_EQ(actions.m_wrong_folder_sender, voter_b);
   EXPECT_EQ(actions.m_persist, std::nullopt);
   EXPECT_EQ(replica.Status().m_term, 1U);
 }
