--- a/tests/unit/net_support.h
+++ b/tests/unit/net_support.h
@@ -73,6 +73,7 @@
   // Server role: listens, then accepts one connection and runs its handshake.
   Endpoint Listen() {
     m_acceptor.open(boost::asio::ip::tcp::v4());
+    m_acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
     m_acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
     m_acceptor.listen();
     return {.m_port = m_acceptor.local_endpoint().port()};
@@ -88,6 +89,9 @@
                      .value());
   }
 
+  // Releases the port. An accepted connection stays open.
+  void StopListening() { m_acceptor.close(); }
+
   // Client role: connects, then runs the handshake.
   void Connect(const Endpoint& endpoint) {
     m_socket.connect(
