Connect again to control hosts that lost power

What callers saw: 21 s after one of five control hosts had lost its disk, two more disks were lost, and from then on no configuration could be read or changed. Changes had been acknowledged all the while, with three usable copies of five.

Cause: a control host names its data folder once, when a connection opens. A peer that loses power closes no connection. The host with the new folder kept its connection to the peer's earlier process and never introduced itself to the process that became the leader, so the folder was never admitted and the lost one stayed a voter. The connection is idle, so TCP does not notice. Class of the fault: state that is sent once for each connection, over a connection that nothing checks.

Ruled out: a refused or blocked membership change. With introductions and refusals logged, the leader shows no refusal and no introduction of the folder.

Change: control hosts repeat their introduction every 500 ms. A host opens its connection to a peer again if the peer introduces a later process than the connected one, or was introduced repeatedly and is silent for 1.7 s, or connects while this host waits for its next attempt (PeerContacts). The exchange of upstreams between control hosts, which has no replies, is opened again with it. A peer of an earlier version, which introduces itself once, is never taken to be silent.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -29,7 +29,7 @@
 constexpr milliseconds kIdleRenewalInterval{1000};
 constexpr milliseconds kShiftInterval{1000};
 // A joining host becomes a voter after two changes, so within a second.
-constexpr milliseconds kMembershipInterval{200};
+constexpr milliseconds kPeerInterval{200};
 
 // Only the replica that proposed the claim logs, so each is logged once.
 void LogClaim(const ClaimRequest& request, const ClaimReply& reply) {
@@ -85,6 +85,11 @@
                 .m_on_role_change =
                     [this](const consensus::RoleChange& change) {
                       OnRoleChange(change);
+                    },
+                .m_on_peer_reopened =
+                    [this](const Endpoint& peer) {
+                      if (m_discovery)
+                        m_discovery->ReopenControlPeer(peer);
                     }}),
       m_feed_server(
           io,
@@ -122,8 +127,7 @@
   JUJUBE_TRY(m_frame_server->Start(m_self.m_peer));
   m_feed_server.Start();
   JUJUBE_TRY(m_runner.Start());
-  if (m_discovery)
-    asio::co_spawn(m_io, MembershipLoop(), asio::detached);
+  asio::co_spawn(m_io, PeerLoop(), asio::detached);
   PublishFeed(nullptr);
   ScheduleRenewal(kIdleRenewalInterval);
   return Success();
@@ -152,13 +156,16 @@
   m_discovery->Start();
 }
 
-asio::awaitable<void> ControlService::MembershipLoop() {
+asio::awaitable<void> ControlService::PeerLoop() {
   asio::steady_timer timer(m_io);
   while (!m_is_stopped) {
+    m_runner.UpdatePeerConnections();
     m_runner.UpdateMembership();
-    m_discovery->SetControlHosts(m_runner.MemberEndpoints(), m_self.m_peer);
-    m_discovery->SetLeading(m_runner.IsLeader());
-    timer.expires_after(kMembershipInterval);
+    if (m_discovery) {
+      m_discovery->SetControlHosts(m_runner.MemberEndpoints(), m_self.m_peer);
+      m_discovery->SetLeading(m_runner.IsLeader());
+    }
+    timer.expires_after(kPeerInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -58,7 +58,7 @@
   };
 
   void StartDiscovery(net::FrameDispatch* handlers);
-  boost::asio::awaitable<void> MembershipLoop();
+  boost::asio::awaitable<void> PeerLoop();
   void OnCommandApplied(std::uint64_t index,
                         const control::CommandResult& result);
   void OnRoleChange(const consensus::RoleChange& change);
--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -86,6 +86,10 @@
   m_control_peers.SetPeers(others);
 }
 
+void DiscoveryService::ReopenControlPeer(const Endpoint& endpoint) {
+  m_control_peers.Reopen(endpoint);
+}
+
 void DiscoveryService::SetLeading(bool is_leading) {
   if (!is_leading)
     m_leading_since.reset();
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -71,6 +71,8 @@
   // Peer endpoints of all control hosts, which are sent to the entry hosts.
   void SetControlHosts(const std::vector<Endpoint>& endpoints,
                        const Endpoint& self);
+  // Opens the connection to a control host again.
+  void ReopenControlPeer(const Endpoint& endpoint);
   void SetLeading(bool is_leading);
   // Newest index of the configuration. Pushed to the entry hosts at once.
   void SetFeedIndex(std::uint64_t index);
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -99,8 +99,8 @@
 void ReplicaRunner::Stop() {
   m_is_stopped = true;
   m_tick_timer.cancel();
-  for (auto& [host, client] : m_clients)
-    client->Stop();
+  for (auto& [host, peer] : m_connections)
+    peer.m_client->Stop();
   m_disk->Stop();
 }
 
@@ -123,19 +123,57 @@
 }
 
 void ReplicaRunner::ConnectTo(const ControlPeer& peer) {
-  if (peer.m_host == m_settings.m_host || m_clients.contains(peer.m_host))
+  if (peer.m_host == m_settings.m_host || m_connections.contains(peer.m_host))
     return;
   m_peers.emplace(peer.m_host, peer);
   m_last_connected.emplace(peer.m_host, MonoClock::now());
-  auto client = std::make_unique<net::FrameClient>(m_io, m_frames, peer.m_peer,
-                                                   net::FrameDispatch());
-  net::FrameClient* raw_client = client.get();
-  client->OnConnection([this, raw_client](bool connected) {
-    if (connected)
-      raw_client->Send(MakeIntroduction());
-  });
+  OpenConnection(peer.m_host);
+}
+
+void ReplicaRunner::OpenConnection(const HostId& host) {
+  auto client = std::make_unique<net::FrameClient>(
+      m_io, m_frames, m_peers.at(host).m_peer, net::FrameDispatch());
+  Peer& peer = m_connections[host];
+  client->OnConnection(
+      [this, &peer, raw_client = client.get()](bool connected) {
+        if (!connected)
+          return;
+        peer.m_connected_at = MonoClock::now();
+        raw_client->Send(MakeIntroduction());
+      });
   client->Start();
-  m_clients.emplace(peer.m_host, std::move(client));
+  peer.m_client = std::move(client);
+}
+
+void ReplicaRunner::ReopenConnection(const HostId& host) {
+  OpenConnection(host);
+  if (m_callbacks.m_on_peer_reopened)
+    m_callbacks.m_on_peer_reopened(m_peers.at(host).m_peer);
+}
+
+void ReplicaRunner::ReopenIfUnusable(const HostId& host) {
+  const Peer& peer = m_connections.at(host);
+  if (!peer.m_client->IsConnected())
+    return;
+  const consensus::PeerConnection connection{
+      .m_run = peer.m_client->PeerIncarnation(),
+      .m_opened_at = peer.m_connected_at};
+  if (!m_contacts.MustReopen(host, connection, MonoClock::now()))
+    return;
+  observe::Log(LogEvent::kPeerReopened, {{"host", host.m_value}});
+  ReopenConnection(host);
+}
+
+void ReplicaRunner::UpdatePeerConnections() {
+  const MonoTime now = MonoClock::now();
+  const bool is_introduction_due = now >= m_next_introduction;
+  if (is_introduction_due)
+    m_next_introduction = now + consensus::kIntroductionInterval;
+  for (const auto& [host, peer] : m_connections) {
+    ReopenIfUnusable(host);
+    if (is_introduction_due)
+      peer.m_client->Send(MakeIntroduction());
+  }
 }
 
 // The id of a discovered host is the endpoint of its peer listener, so the ids
@@ -211,18 +249,40 @@
     return;
   }
   m_has_unsaved_peer_starts = false;
-  observe::Log(LogEvent::kPeerIntroduced,
-               {{"host", introduction.m_replica.m_host.m_value},
-                {"folder", introduction.m_replica.m_folder},
-                {"starts", introduction.m_starts}});
   m_introduced_peers[source.m_incarnation] = introduction.m_replica;
   m_introductions[introduction.m_replica.m_host] = introduction;
   if (m_settings.m_discovers_peers)
     AddDiscoveredPeer(introduction);
+  RecordContact(source, introduction);
   if (!m_replica)
     TryFounding();
 }
 
+void ReplicaRunner::RecordContact(const net::FrameSource& source,
+                                  const Introduction& introduction) {
+  const HostId& host = introduction.m_replica.m_host;
+  m_contacts.OnIntroduction(host, introduction.m_run, MonoClock::now());
+  const auto found = m_connections.find(host);
+  if (found == m_connections.end())
+    return;
+  Peer& peer = found->second;
+  const auto connection = source.m_connection.lock();
+  const bool is_new_connection = peer.m_introduced_over.lock() != connection;
+  peer.m_introduced_over = connection;
+  if (is_new_connection) {
+    observe::Log(LogEvent::kPeerIntroduced,
+                 {{"host", host.m_value},
+                  {"folder", introduction.m_replica.m_folder},
+                  {"starts", introduction.m_starts}});
+  }
+  // A peer that has just connected can be reached, so the connection to it need
+  // not wait for the end of its backoff or of an attempt that got no reply.
+  if (is_new_connection && !peer.m_client->IsConnected())
+    ReopenConnection(host);
+  else
+    ReopenIfUnusable(host);
+}
+
 void ReplicaRunner::OnMessage(const net::FrameSource& source,
                               consensus::Message message) {
   const auto peer = m_introduced_peers.find(source.m_incarnation);
@@ -293,15 +353,15 @@
 bool ReplicaRunner::IsConnectedAndIntroduced(const HostId& host) const {
   if (host == m_self.m_host)
     return true;
-  const auto client = m_clients.find(host);
-  return client != m_clients.end() && client->second->IsConnected() &&
+  const auto peer = m_connections.find(host);
+  return peer != m_connections.end() && peer->second.m_client->IsConnected() &&
          m_introductions.contains(host);
 }
 
 void ReplicaRunner::UpdateMembership() {
   const MonoTime now = MonoClock::now();
-  for (const auto& [host, client] : m_clients) {
-    if (client->IsConnected())
+  for (const auto& [host, peer] : m_connections) {
+    if (peer.m_client->IsConnected())
       m_last_connected[host] = now;
   }
   if (!m_settings.m_discovers_peers || !m_replica)
@@ -453,11 +513,13 @@
 }
 
 void ReplicaRunner::SendMessage(const consensus::Message& message) {
-  const auto client = m_clients.find(consensus::ReceiverOf(message).m_host);
-  if (client == m_clients.end())
+  const auto peer = m_connections.find(consensus::ReceiverOf(message).m_host);
+  if (peer == m_connections.end())
     return;
   std::visit(
-      [&](const auto& typed_message) { client->second->Send(typed_message); },
+      [&](const auto& typed_message) {
+        peer->second.m_client->Send(typed_message);
+      },
       message);
 }
 
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -21,6 +21,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "consensus/peer_contacts.h"
 #include "consensus/replica.h"
 #include "consensus/start_registry.h"
 #include "control/state_machine.h"
@@ -57,6 +58,9 @@
   // Called after a snapshot has replaced the state.
   std::function<void()> m_on_snapshot_installed;
   std::function<void(const consensus::RoleChange&)> m_on_role_change;
+  // Called when the connection to a peer is opened again because it proved
+  // unusable. Other connections to that peer may be unusable too.
+  std::function<void(const Endpoint& peer)> m_on_peer_reopened;
 };
 
 class ReplicaRunner {
@@ -82,6 +86,10 @@
   void ChangeMembership(consensus::MembershipStep step,
                         const VoterId& replica,
                         ProposalCallback callback);
+  // Repeats the introduction to all peers, and opens connections again that
+  // lead to an earlier process of a peer or to a silent peer. Call it
+  // periodically.
+  void UpdatePeerConnections();
   // With peer discovery: connects to the members and, on the leader, proposes
   // the next change from PlanMembership. Call it periodically.
   void UpdateMembership();
@@ -107,6 +115,12 @@
   std::chrono::milliseconds TimeWithoutLeader() const;
 
  private:
+  struct Peer {
+    std::unique_ptr<net::FrameClient> m_client;
+    MonoTime m_connected_at{};  // of the current or last connection
+    // The connection over which the peer last introduced itself.
+    std::weak_ptr<net::FrameConnection> m_introduced_over;
+  };
   struct PendingProposal {
     std::uint64_t m_term = 0;
     ProposalCallback m_callback;
@@ -116,10 +130,16 @@
   void RegisterMessageHandler(net::FrameDispatch* handlers);
   void OnIntroduction(const net::FrameSource& source,
                       const Introduction& introduction);
+  void RecordContact(const net::FrameSource& source,
+                     const Introduction& introduction);
   void OnMessage(const net::FrameSource& source, consensus::Message message);
   Introduction MakeIntroduction() const;
   void ConnectToPeers();
   void ConnectTo(const ControlPeer& peer);
+  void OpenConnection(const HostId& host);
+  // Closes and opens the connection of this host to a peer.
+  void ReopenConnection(const HostId& host);
+  void ReopenIfUnusable(const HostId& host);
   void ConnectToMembers();
   void AddDiscoveredPeer(const Introduction& introduction);
   bool IsConnectedAndIntroduced(const HostId& host) const;
@@ -153,7 +173,9 @@
   std::map<HostId, Introduction> m_introductions;
   std::map<std::uint64_t, VoterId> m_introduced_peers;  // by incarnation
   std::map<HostId, ControlPeer> m_peers;  // configured and discovered hosts
-  std::map<HostId, std::unique_ptr<net::FrameClient>> m_clients;
+  std::map<HostId, Peer> m_connections;
+  consensus::PeerContacts m_contacts;
+  MonoTime m_next_introduction{};
   std::map<HostId, MonoTime> m_last_connected;
   bool m_is_changing_members = false;
   std::string m_last_membership_refusal;  // empty after a change
--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -178,7 +178,7 @@
                           const FolderIdentity&) = default;
 };
 
-// First frame of a control host on a connection.
+// First frame of a control host on a connection, repeated at a fixed interval.
 struct Introduction {
   VoterId m_replica;           // the sender
   std::uint64_t m_starts = 0;  // start count of its data folder; a lower count
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -87,6 +87,9 @@
     case LogEvent::kMembershipChangeRefused:
       return {229, LogLevel::kWarning, "MembershipChangeRefused",
               "membership change refused"};
+    case LogEvent::kPeerReopened:
+      return {230, LogLevel::kWarning, "PeerReopened",
+              "connection to a control host opened again"};
     case LogEvent::kDocumentAccepted:
       return {300, LogLevel::kInfo, "DocumentAccepted", "document accepted"};
     case LogEvent::kDocumentConflict:
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -204,7 +204,15 @@
   if (m_options.m_silence.count() == 0 ||
       now - peer.m_last_message_at < m_options.m_silence)
     return;
-  peer = {.m_client = Connect(endpoint), .m_last_message_at = now};
+  Reopen(endpoint);
+}
+
+void PeerExchange::Reopen(const Endpoint& endpoint) {
+  const auto peer = m_peers.find(endpoint);
+  if (peer != m_peers.end()) {
+    peer->second = {.m_client = Connect(endpoint),
+                    .m_last_message_at = MonoClock::now()};
+  }
 }
 
 RegistryDelta PeerExchange::WithSenderFields(RegistryDelta delta,
--- a/src/net/peer_exchange.h
+++ b/src/net/peer_exchange.h
@@ -74,6 +74,9 @@
   void Stop();
 
   void SetPeers(const std::vector<Endpoint>& endpoints);
+  // Closes the connection to a peer and opens a new one. No effect for an
+  // endpoint that is no peer.
+  void Reopen(const Endpoint& endpoint);
   // Sets the presence that is sent with each further message.
   void SetPresence(const EntryPresence& presence);
   // Sends to all peers without waiting for the interval, for example after
