Show what an upstream that breaks the protocol does to callers

A stand-in upstream writes a refusal once more on a kept connection, and sends heads, informational responses and bodies without end.

--- /dev/null
+++ b/tests/process/faulty_upstream_test.cc
@@ -0,0 +1,145 @@
+// Tests with a real entry daemon and an upstream that breaks the protocol:
+// refusals written twice, and heads and bodies without end.
+
+#include <future>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "process/process_harness.h"
+#include "process/raw_socket.h"
+#include "process/request_announcer.h"
+#include "process/request_fixture.h"
+
+namespace jujube::testing {
+namespace {
+
+constexpr char kEndOfHead[] = "\r\n\r\n";
+constexpr char kRefusal[] =
+    "HTTP/1.1 503 Service Unavailable\r\nJujube-Started: no\r\n"
+    "Content-Length: 0\r\n\r\n";
+constexpr char kResponse[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfuel";
+
+// More than an entry host keeps of a response, and little enough for a test
+// whose entry host keeps all of it.
+constexpr std::size_t kEndlessBytes = 4U << 20U;
+
+std::string Repeat(const std::string& text, std::size_t bytes) {
+  std::string repeated;
+  while (repeated.size() < bytes)
+    repeated += text;
+  return repeated;
+}
+
+// The one instance of service "log", whose connections the test serves.
+class FaultyUpstream : public ::testing::Test {
+ protected:
+  FaultyUpstream()
+      : m_endpoint(process::ReserveEndpoint()),
+        m_listener(RawSocket::Listen(m_endpoint, 16)),
+        m_announcer(m_system, 0, m_system.AnnouncementOf("u0", m_endpoint)) {
+    m_system.WaitUntilServing();
+  }
+
+  // Sends a GET request on the caller's connection. The deadline is long, since
+  // its expiry would end the exchange as well.
+  void SendGet(const std::string& target) const {
+    m_caller.Send("GET /s/log" + target +
+                  " HTTP/1.1\r\nHost: x\r\nJujube-Deadline-Ms: 600000\r\n\r\n");
+  }
+
+  RawSocket AcceptRequest() const {
+    RawSocket connection = m_listener.Accept();
+    EXPECT_TRUE(connection.ReadUntil(kEndOfHead));
+    return connection;
+  }
+
+  RequestSystem m_system;
+  Endpoint m_endpoint;
+  RawSocket m_listener;
+  RequestAnnouncer m_announcer;
+  RawSocket m_caller = RawSocket::Connect(m_system.SettingsOfEntry(0).m_caller);
+};
+
+// Guards against "not-run" for a request that runs: the instance writes the
+// refusal of an earlier request once more on the connection of this one.
+TEST_F(FaultyUpstream, RefusalWrittenTwiceAnswersOnlyItsRequest) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket first = AcceptRequest();
+    first.Send(kRefusal);
+    // The next request on this connection starts to run.
+    if (first.ReadUntil(kEndOfHead))
+      first.Send(kRefusal);
+    else
+      AcceptRequest().Send(kResponse);
+  });
+  SendGet("/first");
+  ASSERT_TRUE(m_caller.ReadUntil("Jujube-Verdict: not-run"));
+  SendGet("/second");
+  // Of a kept connection, the first response has been read up to its verdict.
+  EXPECT_TRUE(m_caller.ReadUntil("HTTP/1.1 200"));
+  instance.get();
+}
+
+// Guards against an entry host that keeps all bytes of a refusal whose body
+// does not end, until its memory is used up.
+TEST_F(FaultyUpstream, RefusalWithAnEndlessBodyIsAnsweredAtOnce) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket connection = AcceptRequest();
+    connection.Send(
+        "HTTP/1.1 503 Service Unavailable\r\nJujube-Started: no\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Repeat("4\r\nfull\r\n", kEndlessBytes));
+    connection.ReadToEnd();
+  });
+  SendGet("/x");
+  EXPECT_TRUE(m_caller.ReadUntil("Jujube-Verdict: not-run"));
+  instance.get();
+}
+
+// Guards against a response head without end that is read until the deadline.
+TEST_F(FaultyUpstream, EndlessHeadIsCutOff) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket connection = AcceptRequest();
+    connection.Send("HTTP/1.1 200 OK\r\n" +
+                    Repeat("X-Fill: oil\r\n", kEndlessBytes));
+    connection.ReadToEnd();
+  });
+  SendGet("/x");
+  EXPECT_TRUE(m_caller.ReadUntil("Jujube-Verdict: may-have-run"));
+  instance.get();
+}
+
+// Guards against informational responses without end, which are read until the
+// deadline.
+TEST_F(FaultyUpstream, EndlessInformationalResponsesAreCutOff) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket connection = AcceptRequest();
+    connection.Send(Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", kEndlessBytes));
+    connection.ReadToEnd();
+  });
+  SendGet("/x");
+  EXPECT_TRUE(m_caller.ReadUntil("Jujube-Verdict: may-have-run"));
+  instance.get();
+}
+
+// Guards against a response without end that is forwarded beyond the deadline,
+// because bytes are available whenever the entry host reads.
+TEST_F(FaultyUpstream, EndlessBodyEndsAtTheDeadline) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket connection = AcceptRequest();
+    connection.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunks = Repeat("4\r\nfuel\r\n", kEndlessBytes);
+    while (connection.Send(chunks)) {
+    }
+  });
+  m_caller.Send(
+      "GET /s/log/x HTTP/1.1\r\nHost: x\r\nJujube-Deadline-Ms: 500\r\n\r\n");
+  EXPECT_GT(m_caller.DiscardToEnd(), 0U);
+  instance.get();
+}
+
+}  // namespace
+}  // namespace jujube::testing
--- a/tests/process/raw_socket.cc
+++ b/tests/process/raw_socket.cc
@@ -62,15 +62,16 @@
   return RawSocket(::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC));
 }
 
-void RawSocket::Send(const std::string& bytes) const {
+bool RawSocket::Send(const std::string& bytes) const {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
     const ssize_t count =
         ::send(m_fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (count <= 0)
-      return;  // the peer closed; tests notice it when they read
+      return false;
     sent += static_cast<std::size_t>(count);
   }
+  return true;
 }
 
 bool RawSocket::ReadUntil(const std::string& text) const {
@@ -96,6 +97,17 @@
   }
 }
 
+std::size_t RawSocket::DiscardToEnd() const {
+  std::size_t total = 0;
+  std::array<char, 4096> buffer{};
+  while (true) {
+    const ssize_t count = ::recv(m_fd, buffer.data(), buffer.size(), 0);
+    if (count <= 0)
+      return total;
+    total += static_cast<std::size_t>(count);
+  }
+}
+
 void RawSocket::Close() {
   if (m_fd >= 0)
     ::close(std::exchange(m_fd, -1));
--- a/tests/process/raw_socket.h
+++ b/tests/process/raw_socket.h
@@ -1,8 +1,9 @@
 // RawSocket: a TCP socket that sends and receives arbitrary bytes. Connect(),
-// Listen(), Accept() and Send() do not report errors.
+// Listen() and Accept() do not report errors.
 
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "gen/types.h"
@@ -24,10 +25,12 @@
   RawSocket& operator=(const RawSocket&) = delete;
 
   RawSocket Accept() const;
-  void Send(const std::string& bytes) const;
+  // Returns false if the peer has closed.
+  bool Send(const std::string& bytes) const;
   // Reads until `text` has been received; false if the peer closes first.
   bool ReadUntil(const std::string& text) const;
-  std::string ReadToEnd() const;  // until the peer closes
+  std::string ReadToEnd() const;     // until the peer closes
+  std::size_t DiscardToEnd() const;  // returns the number of bytes
   void Close();
 
  private:
