Close the connection after a refusal that names no request

What callers saw: "not run, try again" for a request that an instance ran. A faulty instance wrote the refusal of an earlier request once more on a kept connection, and the entry host took it for the response to the next request.

Cause: a refusal without a request id cannot be told from one of an earlier request, and the connection was kept after it. The native dialect has no ids in responses; on the platform an instance may leave the id out of a refusal.

Ruled out: a second run of a request that must not repeat, since such a request always gets a new connection; a refusal with the id of another request, which is rejected already.

Change: a connection is kept after a refusal only if the refusal names its request. A refusal that names none therefore never arrives on a connection that carried one before. Cost: one connection for each refusal without an id.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -74,12 +74,16 @@
   }
   response.SetAttribute("http.status", head->m_status);
   const bool has_body = request.m_head.m_method != "HEAD";
+  const bool names_request = D::NamesRequest(*head);
   co_await ReceiveResponse(*head, has_body);
   if (m_result.m_failure)
     response.SetFailed();
-  const bool is_response_complete =
-      !m_result.m_failure || *m_result.m_failure == Failure::kNotStarted;
-  if (is_response_complete && m_connection != nullptr) {
+  // A faulty instance may write a refusal once more. If the refusal names no
+  // request, it would be taken for the response to the next one.
+  const bool is_connection_kept =
+      !m_result.m_failure ||
+      (*m_result.m_failure == Failure::kNotStarted && names_request);
+  if (is_connection_kept && m_connection != nullptr) {
     m_pool.Return(selection.m_endpoint, selection.m_incarnation,
                   std::move(m_connection), MonoClock::now());
   }
--- a/src/entry/dialect.h
+++ b/src/entry/dialect.h
@@ -16,6 +16,7 @@
 //   and the selected instance.
 // - IsNotStarted: whether the upstream states that it did not start the
 //   request.
+// - NamesRequest: whether the response states which request it answers.
 // - IsResponseTo: whether the response belongs to the request.
 // - ReportedLoad: number of requests at the instance, if the response
 //   states it.
@@ -57,6 +58,7 @@
     D::UpstreamHead(request, route, remaining, std::string_view(), selection)
     } -> std::same_as<RequestHead>;
   { D::IsNotStarted(response) } -> std::same_as<bool>;
+  { D::NamesRequest(response) } -> std::same_as<bool>;
   { D::IsResponseTo(response, route) } -> std::same_as<bool>;
   { D::ReportedLoad(response) } -> std::same_as<std::optional<std::uint32_t>>;
   {
--- a/src/entry/native_dialect.cc
+++ b/src/entry/native_dialect.cc
@@ -56,6 +56,10 @@
       net::FindHeader(head.m_headers, kStartedField).value_or(""));
 }
 
+bool NativeDialect::NamesRequest(const ResponseHead& /*head*/) {
+  return false;
+}
+
 bool NativeDialect::IsResponseTo(const ResponseHead& /*head*/,
                                  const Route& /*route*/) {
   return true;
--- a/src/entry/native_dialect.h
+++ b/src/entry/native_dialect.h
@@ -27,6 +27,7 @@
                                   std::string_view traceparent,
                                   const steering::Selection& selection);
   static bool IsNotStarted(const ResponseHead& head);
+  static bool NamesRequest(const ResponseHead& head);
   static bool IsResponseTo(const ResponseHead& head, const Route& route);
   static std::optional<std::uint32_t> ReportedLoad(const ResponseHead& head);
   static std::vector<Header> EndToEndHeaders(
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -277,6 +277,8 @@
   EXPECT_TRUE(RequestDialect::IsNotStarted(refused));
   EXPECT_TRUE(RequestDialect::IsNotStarted(misdirected));
   EXPECT_FALSE(RequestDialect::IsNotStarted(failed));
+  EXPECT_TRUE(RequestDialect::NamesRequest(matching));
+  EXPECT_FALSE(RequestDialect::NamesRequest(refused));
   const ResponseHead with_load{.m_headers = {{"Server-Load", "3,2,8"}}};
   EXPECT_EQ(RequestDialect::ReportedLoad(with_load), 5U);
   const ResponseHead malformed_load{.m_headers = {{"Server-Load", "3;2"}}};
