Stop reading the body of a refusal at a limit

What callers saw: a refusal was answered only at the deadline if its body did not end or did not arrive. A refusal whose body does not end was also kept in memory as a whole, so that one faulty instance could use up the memory of an entry host.

Cause: the limit of buffered response bodies did not apply to refusals, since their bodies are never streamed, and the body had the deadline of the request.

Ruled out: heads and informational responses without end, which are cut off at 32 KiB and after eight responses.

Change: the body of a refusal is read up to the limit of buffered responses and for 250 ms. The refusal is valid without it; the body is read only so that the connection can be kept.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -25,6 +25,9 @@
 // handshake takes two; the other two are for a busy instance that accepts late.
 inline constexpr int kConnectOneWayDelays = 4;
 
+// The body of a refusal is read only so that its connection can be kept.
+inline constexpr std::chrono::milliseconds kRefusalBodyTimeout{250};
+
 inline bool IsTimeout(const Error& error) {
   return error.m_code == ErrorCode::kTimeout;
 }
@@ -266,22 +269,24 @@
   const bool not_started = D::IsNotStarted(head);
   RecordEvent(not_started ? request::AttemptEvent::kResponseHeadNotStarted
                           : request::AttemptEvent::kResponseHead);
+  if (not_started) {
+    m_connection->SetDeadline(
+        std::min(m_deadline,
+                 MonoClock::now() + attempt_internal::kRefusalBodyTimeout));
+  }
   std::string body;
   std::array<char, attempt_internal::kChunkBytes> chunk{};
   bool is_body_ended = !has_body;  // also set when reading fails
-  bool is_over_buffer_limit = false;
-  while (!is_body_ended && !is_over_buffer_limit) {
+  while (!is_body_ended && body.size() <= kMaxBufferedResponseBytes) {
     const std::optional<std::size_t> count = co_await ReadBodyChunk(chunk);
     is_body_ended = !count || *count == 0;
     if (!is_body_ended)
       body.append(chunk.data(), *count);
-    is_over_buffer_limit =
-        body.size() > kMaxBufferedResponseBytes && !not_started;
   }
-  if (is_over_buffer_limit)
-    co_await StreamResponse(head, std::move(body));
-  else
+  if (is_body_ended || not_started)
     FinishBufferedResponse(head, body, not_started);
+  else
+    co_await StreamResponse(head, std::move(body));
 }
 
 template <Dialect D>
--- a/tests/process/faulty_upstream_test.cc
+++ b/tests/process/faulty_upstream_test.cc
@@ -99,6 +99,21 @@
   instance.get();
 }
 
+// Guards against a refusal that the caller gets only at its deadline, because
+// the announced body of the refusal never arrives.
+TEST_F(FaultyUpstream, RefusalWithoutItsBodyIsAnsweredAtOnce) {
+  auto instance = std::async(std::launch::async, [this] {
+    const RawSocket connection = AcceptRequest();
+    connection.Send(
+        "HTTP/1.1 503 Service Unavailable\r\nJujube-Started: no\r\n"
+        "Content-Length: 10\r\n\r\n");
+    connection.ReadToEnd();
+  });
+  SendGet("/x");
+  EXPECT_TRUE(m_caller.ReadUntil("Jujube-Verdict: not-run"));
+  instance.get();
+}
+
 // Guards against a response head without end that is read until the deadline.
 TEST_F(FaultyUpstream, EndlessHeadIsCutOff) {
   auto instance = std::async(std::launch::async, [this] {
