End requests at their deadline when the upstream never stops sending

What callers saw: a response body without end was forwarded beyond the deadline, for as long as the caller stayed and the upstream sent.

Cause: the timer of the stream ends only operations that wait. While bytes are available at each read, or are taken at once at each write, no operation waits, and the expired timer is cancelled with each completed operation.

Change: HttpConnection compares the deadline with the clock before each read of a body and each write of a body.

Evidence: FaultyUpstream.EndlessBodyEndsAtTheDeadline waited without end before (stopped after 12 s) and takes 2.3 s with the start of its processes now.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -31,6 +31,11 @@
 constexpr std::uint32_t kMaxHeaderBytes = 32768;
 constexpr int kMaxInformationalResponses = 8;
 
+Error DeadlineError(std::string_view operation) {
+  return MakeError(ErrorCode::kTimeout,
+                   std::string(operation) + ": the deadline has passed");
+}
+
 Error OperationError(std::string_view operation,
                      const beast::error_code& error) {
   const bool timeout = error == beast::error::timeout;
@@ -43,11 +48,16 @@
 struct HttpConnection::State {
   explicit State(const asio::any_io_executor& executor) : m_stream(executor) {}
 
+  // The timer of the stream ends only operations that wait. A peer that always
+  // has bytes ready or takes bytes at once never lets one wait.
+  bool IsPastDeadline() const { return MonoClock::now() >= m_deadline; }
+
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer{kReadBufferBytes};
   http::request<http::buffer_body> m_request;
   std::optional<http::request_serializer<http::buffer_body>> m_serializer;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
+  MonoTime m_deadline = MonoTime::max();
   bool m_is_head_method = false;
   bool m_reusable = false;
   bool m_allows_close_delimited = false;
@@ -67,6 +77,7 @@
 }
 
 void HttpConnection::SetDeadline(MonoTime deadline) {
+  m_state->m_deadline = deadline;
   const auto remaining = deadline - MonoClock::now();
   m_state->m_stream.expires_after(
       std::max(remaining, MonoClock::duration::zero()));
@@ -116,6 +127,8 @@
   if (data.empty())
     co_return Success();
   State& state = *m_state;
+  if (state.IsPastDeadline())
+    co_return DeadlineError("send");
   auto& body = state.m_request.body();
   // Beast takes a mutable pointer and does not write through it.
   body.data = const_cast<char*>(data.data());
@@ -186,6 +199,8 @@
         "response body: neither Content-Length nor chunked encoding");
   }
   while (!state.m_parser->is_done()) {
+    if (state.IsPastDeadline())
+      co_return DeadlineError("response body");
     auto& body = state.m_parser->get().body();
     body.data = buffer.data();
     body.size = buffer.size();
