--- a/src/feed/publisher.cc
+++ b/src/feed/publisher.cc
@@ -18,8 +18,8 @@
     const auto change = MakeChange(*m_state, *state);
     if (change)
       AppendToTail(change.value());
-    // Otherwise the change exceeds the limits of FeedChange. The tail then has
-    // a gap before the new index, and subscribers receive a snapshot.
+    else
+      DropTail();
   }
   m_state = std::move(state);
   return Success();
@@ -54,8 +54,10 @@
 void Publisher::AppendToTail(const FeedChange& change) {
   auto payload = std::make_shared<const std::string>(Encode(change));
   if (payload->size() >
-      MaxPayloadBytes(static_cast<std::uint16_t>(FrameType::kFeedChange)))
+      MaxPayloadBytes(static_cast<std::uint16_t>(FrameType::kFeedChange))) {
+    DropTail();
     return;
+  }
   m_tail_bytes += payload->size();
   m_tail.push_back({.m_previous_index = change.m_previous_index,
                     .m_index = change.m_index,
@@ -69,6 +71,14 @@
   }
 }
 
+// Called for a change that exceeds the limits of FeedChange. Subscribers then
+// receive a snapshot. Changes before the gap are dropped, since an encoded
+// snapshot that they follow would be sent again at the gap.
+void Publisher::DropTail() {
+  m_tail.clear();
+  m_tail_bytes = 0;
+}
+
 const Publisher::TailChange* Publisher::FindChangeAfter(
     std::uint64_t index) const {
   const auto found =
@@ -82,7 +92,7 @@
 }
 
 std::optional<FeedMessage> Publisher::NextMessage(Cursor* cursor) {
-  if (!m_state || cursor->m_index >= Index())
+  if (!m_state || IsUpToDate(*cursor))
     return std::nullopt;
   if (cursor->m_snapshot_index != 0)
     return NextChunk(cursor);
@@ -96,6 +106,10 @@
                      .m_payload = change->m_payload};
 }
 
+bool Publisher::IsUpToDate(const Cursor& cursor) const {
+  return cursor.m_index >= Index();
+}
+
 void Publisher::StartSnapshot(Cursor* cursor) {
   // The encoded snapshot is reused if it is current or if the tail contains the
   // change that directly follows it. Otherwise each slow subscriber could
--- a/src/feed/publisher.h
+++ b/src/feed/publisher.h
@@ -72,6 +72,9 @@
   // Advances the cursor past the message.
   std::optional<FeedMessage> NextMessage(Cursor* cursor);
 
+  // True if the subscriber has been sent all changes.
+  bool IsUpToDate(const Cursor& cursor) const;
+
   // Frees the encoded snapshot if it is not being sent to any subscriber. Call
   // it periodically, for example with each heartbeat.
   void ReleaseUnusedSnapshot();
@@ -96,6 +99,7 @@
   };
 
   Status CheckNewer(const State& state) const;
+  void DropTail();
   void AppendToTail(const FeedChange& change);
   // Returns the change that applies to the index, or null.
   const TailChange* FindChangeAfter(std::uint64_t index) const;
--- a/tests/unit/feed_state_test.cc
+++ b/tests/unit/feed_state_test.cc
@@ -124,6 +124,46 @@
   EXPECT_EQ(*subscriber.Current(), *StateAt(7));
 }
 
+// Guards against a subscriber that is sent the same snapshot again and again: a
+// change that is too large for one message leaves a gap behind the snapshot.
+TEST(FeedPublisher, SnapshotBeforeATooLargeChangeIsNotReused) {
+  Publisher publisher;
+  PublishUpTo(&publisher, 1);
+  Cursor holder;
+  ASSERT_TRUE(publisher.NextMessage(&holder));  // encodes the snapshot of 1
+  PublishUpTo(&publisher, 2);
+  FeedState large = *StateAt(2);
+  large.m_index = 3;
+  constexpr std::size_t kTooManyBlocks = 100001;
+  for (std::size_t block = 0; block < kTooManyBlocks; ++block)
+    large.m_deployment.m_blocks.push_back({.m_prefix = std::to_string(block)});
+  const auto state =
+      std::make_shared<const FeedState>(Canonical(std::move(large)));
+  ASSERT_TRUE(publisher.Publish(state));
+  Subscriber subscriber;
+  Cursor cursor;
+  constexpr int kMaxMessages = 1000;
+  for (int i = 0; i < kMaxMessages && subscriber.Index() < 3; ++i) {
+    const auto message = publisher.NextMessage(&cursor);
+    ASSERT_TRUE(message);
+    Deliver(&subscriber, *message);
+  }
+  EXPECT_EQ(subscriber.Index(), 3U);
+}
+
+// Guards against a heartbeat that calls a subscriber current while changes for
+// it wait in its queue.
+TEST(FeedPublisher, SubscriberIsUpToDateAfterTheLastChange) {
+  Publisher publisher;
+  PublishUpTo(&publisher, 2);
+  Cursor cursor{.m_index = 1};
+  EXPECT_FALSE(publisher.IsUpToDate(cursor));
+  publisher.NextMessage(&cursor);
+  EXPECT_TRUE(publisher.IsUpToDate(cursor));
+  PublishUpTo(&publisher, 3);
+  EXPECT_FALSE(publisher.IsUpToDate(cursor));
+}
+
 // Guards against a parent that sends an older state than before.
 TEST(FeedPublisher, OlderStateIsRefused) {
   Publisher publisher;
