Derive the age of the configuration from what a majority confirmed

What callers would see: an entry host answers 404 for an added route, or handles a request by an older configuration, while it takes its configuration for current.

Cause: a control host reported age 0 to its subscribers whenever it knew a leader, also if its own log or applied state was behind, and otherwise the time since its last role change, which starts again with each candidacy, so after 1.2 s at the most. An isolated control host thus kept its subscribers. In addition, a heartbeat could overtake a change that waited for the subscriber's queue.

Change: the replica records when its applied state was last known to include all committed entries: at the leader the last contact with a majority, at a follower the last message of a leader that has committed an entry of its term and whose commit index is applied. The feed confirms this time only to subscribers that were sent everything. Control hosts with discovered entry hosts send heartbeats every 500 ms instead of every second. A follower's time can be too recent by the delay of a message and an election timeout; the wire format is unchanged.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -84,7 +84,8 @@
           .m_synced_index = m_persist_queue.SyncedIndex(),
           .m_commit_index = m_commit_index,
           .m_applied_index = m_applied_index,
-          .m_voters = m_membership.Current()};
+          .m_voters = m_membership.Current(),
+          .m_current_at = m_current_at};
 }
 
 void Replica::HandleEvent(const Tick& /*event*/) {
@@ -231,8 +232,22 @@
     m_actions.m_apply.push_back(m_log.At(++m_applied_index));
 }
 
+// Until a leader has committed an entry of its term, its commit index may be
+// behind entries that an earlier leader committed.
+void Replica::UpdateCurrentTime() {
+  const bool is_leader = m_role == Role::kLeader;
+  const std::uint64_t required_index =
+      is_leader ? m_commit_index : m_leader_commit_index;
+  if (!m_leader || m_applied_index < required_index ||
+      m_log.TermAt(m_applied_index) != m_state.m_term)
+    return;
+  m_current_at = std::max(
+      m_current_at, is_leader ? LastQuorumContact() : m_last_leader_contact);
+}
+
 void Replica::FinishStep() {
   ApplyCommittedEntries();
+  UpdateCurrentTime();
   CompleteReads();
   const bool state_changed = m_state != m_issued_state;
   const std::uint64_t first_new_index = m_persist_queue.NextIndex();
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -191,6 +191,7 @@
   void SendAfterSync(Message message);
   void FinishStep();
   void ApplyCommittedEntries();
+  void UpdateCurrentTime();
   void AppendToLog(LogEntry entry);
   void TruncateLogFrom(std::uint64_t index);
   void RefuseRequest(std::uint64_t token, ErrorCode code, std::string message);
@@ -214,6 +215,8 @@
 
   // replica_leader.cc
   void CheckQuorum();
+  // Time of the last reply of the slowest member of the fastest majority.
+  MonoTime LastQuorumContact() const;
   void TickLeader();
   void AdvanceCommitIndex();
   void UpdateTrackedMembers();
@@ -226,7 +229,8 @@
   std::optional<Error> CheckMembershipChange(
       const ChangeMembership& event) const;
   std::optional<Error> CheckPromotion(const VoterId& replica) const;
-  std::uint64_t HighestQuorumValue(std::vector<std::uint64_t> values) const;
+  template <class T>
+  static T HighestQuorumValue(std::vector<T> values);
 
   // replica_replication.cc: leader's side of append and snapshot messages
   void HandleMessage(const AppendReply& reply);
@@ -240,6 +244,7 @@
   void StartSnapshotTransfer(const VoterId& to, FollowerProgress* progress);
   void RequestSnapshotChunk(const VoterId& to, FollowerProgress* progress);
   FollowerProgress* ProgressOf(const VoterId& replica);
+  const FollowerProgress* ProgressOf(const VoterId& replica) const;
 
   // replica_follower.cc: follower's side of the same messages
   void HandleMessage(const AppendRequest& request);
@@ -272,6 +277,8 @@
   std::uint64_t m_commit_index;
   // Highest index returned in m_apply or covered by a loaded snapshot.
   std::uint64_t m_applied_index;
+  std::uint64_t m_leader_commit_index = 0;  // highest one in an AppendRequest
+  MonoTime m_current_at{};                  // see ReplicaStatus
   bool m_storage_full = false;
   std::optional<IncomingSnapshot> m_incoming_snapshot;
 
--- a/src/consensus/replica_follower.cc
+++ b/src/consensus/replica_follower.cc
@@ -54,6 +54,8 @@
   if (m_role == Role::kLeader || !HasConsecutiveIndexes(request))
     return;
   FollowLeader(request.m_from);
+  m_leader_commit_index =
+      std::max(m_leader_commit_index, request.m_commit_index);
   AppendReply reply{.m_from = m_self,
                     .m_to = request.m_from,
                     .m_term = m_state.m_term,
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -37,28 +37,30 @@
 }  // namespace
 
 // Highest value that a majority has reached. `values` holds one for each voter.
-std::uint64_t Replica::HighestQuorumValue(
-    std::vector<std::uint64_t> values) const {
+template <class T>
+T Replica::HighestQuorumValue(std::vector<T> values) {
   if (values.empty())
-    return 0;
+    return T{};
   std::sort(values.rbegin(), values.rend());
   return values[values.size() / 2];
 }
 
-void Replica::CheckQuorum() {
-  if (m_role != Role::kLeader)
-    return;
-  const std::vector<VoterId>& voters = m_membership.Current().m_voters;
-  std::size_t reachable = 0;
-  for (const VoterId& voter : voters) {
+MonoTime Replica::LastQuorumContact() const {
+  std::vector<MonoTime> contacts;
+  for (const VoterId& voter : m_membership.Current().m_voters) {
     const FollowerProgress* progress = ProgressOf(voter);
-    const bool is_reachable =
-        voter == m_self ||
-        (progress != nullptr &&
-         m_now < progress->m_last_contact + m_options.m_election_timeout);
-    reachable += is_reachable ? 1 : 0;
+    if (voter == m_self)
+      contacts.push_back(m_now);
+    else
+      contacts.push_back(progress != nullptr ? progress->m_last_contact
+                                             : MonoTime{});
   }
-  if (reachable > voters.size() / 2)
+  return HighestQuorumValue(std::move(contacts));
+}
+
+void Replica::CheckQuorum() {
+  if (m_role != Role::kLeader ||
+      m_now < LastQuorumContact() + m_options.m_election_timeout)
     return;
   BecomeFollower(m_state.m_term, std::nullopt);
   ReportRole(true);
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -12,6 +12,11 @@
   return found == m_progress.end() ? nullptr : &found->second;
 }
 
+const FollowerProgress* Replica::ProgressOf(const VoterId& replica) const {
+  const auto found = m_progress.find(replica);
+  return found == m_progress.end() ? nullptr : &found->second;
+}
+
 void Replica::SendAppend(const VoterId& to,
                          const FollowerProgress& progress,
                          std::vector<LogEntry> entries) {
--- a/src/consensus/replica_status.h
+++ b/src/consensus/replica_status.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "consensus/actions.h"
+#include "core/clock.h"
 #include "gen/consensus.h"
 
 namespace jujube::consensus {
@@ -23,6 +24,12 @@
   // Highest index returned in m_apply or covered by a loaded snapshot.
   std::uint64_t m_applied_index = 0;
   Voters m_voters;  // current membership, committed or not
+  // Latest time at which the applied state is known to have included all that
+  // was committed; the epoch if never. The leader derives it from the replies
+  // of a majority. A follower derives it from its leader, so an outdated leader
+  // or a late message can make it too recent, by up to an election timeout and
+  // the delay of the message.
+  MonoTime m_current_at{};
 
   friend auto operator<=>(const ReplicaStatus&, const ReplicaStatus&) = default;
 };
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -30,6 +30,10 @@
 constexpr milliseconds kShiftInterval{1000};
 // A joining host becomes a voter after two changes, so within a second.
 constexpr milliseconds kPeerInterval{200};
+constexpr milliseconds kFeedHeartbeat{1000};
+// Discovered entry hosts leave a control host that is silent for 1.7 s, and
+// distrust a configuration that was not confirmed for as long.
+constexpr milliseconds kPresenceInterval{500};
 
 // Only the replica that proposed the claim logs, so each is logged once.
 void LogClaim(const ClaimRequest& request, const ClaimReply& reply) {
@@ -94,7 +98,9 @@
       m_feed_server(
           io,
           net::FeedServerOptions{
-              .m_origin_age = [this] { return m_runner.TimeWithoutLeader(); }},
+              .m_heartbeat = settings.m_discovers_peers ? kPresenceInterval
+                                                        : kFeedHeartbeat,
+              .m_origin_age = [this] { return m_runner.StateAge(); }},
           m_feed_statuses),
       m_renewal_timer(io) {}
 
@@ -236,7 +242,7 @@
     m_frame_metrics.Update(*m_frames.m_counters);
   observe::GaugeOf(Metric::kConfigIndex)
       .Set(static_cast<std::int64_t>(m_runner.State().Config().FeedIndex()));
-  observe::GaugeOf(Metric::kFeedAge).Set(m_runner.TimeWithoutLeader().count());
+  observe::GaugeOf(Metric::kFeedAge).Set(m_runner.StateAge().count());
   observe::GaugeOf(Metric::kFeedSubscribers)
       .Set(static_cast<std::int64_t>(m_feed_server.Subscribers()));
   const std::uint64_t snapshots = m_feed_server.Source().SnapshotsStarted();
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -59,8 +59,7 @@
               m_is_taking_snapshot = false;
             Step(std::move(event));
           })),
-      m_tick_timer(io),
-      m_last_role_change(MonoClock::now()) {}
+      m_tick_timer(io) {}
 
 ReplicaRunner::~ReplicaRunner() = default;
 
@@ -525,7 +524,6 @@
 
 void ReplicaRunner::OnRoleChange(const consensus::RoleChange& change) {
   m_leader = change.m_leader;
-  m_last_role_change = MonoClock::now();
   if (change.m_role == consensus::Role::kLeader) {
     observe::Log(LogEvent::kBecameLeader, {{"term", change.m_term}});
   } else {
@@ -663,11 +661,9 @@
   return m_replica ? m_replica->Status() : consensus::ReplicaStatus{};
 }
 
-milliseconds ReplicaRunner::TimeWithoutLeader() const {
-  if (m_leader)
-    return milliseconds(0);
-  return std::chrono::duration_cast<milliseconds>(MonoClock::now() -
-                                                  m_last_role_change);
+milliseconds ReplicaRunner::StateAge() const {
+  return std::chrono::duration_cast<milliseconds>(
+      MonoClock::now() - ConsensusStatus().m_current_at);
 }
 
 }  // namespace jujube::controld
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -110,9 +110,9 @@
   consensus::ReplicaStatus ConsensusStatus() const;
   const VoterId& Self() const { return m_self; }
   const control::StateMachine& State() const { return m_state; }
-  // Zero while a leader is known, otherwise the time since the last RoleChange,
-  // even if that was another candidacy. Exported as the age of the feed.
-  std::chrono::milliseconds TimeWithoutLeader() const;
+  // Time since the state was last known to include all committed changes; since
+  // boot if it never was. Exported as the age of the feed.
+  std::chrono::milliseconds StateAge() const;
 
  private:
   struct Peer {
@@ -197,7 +197,6 @@
   bool m_has_unsaved_peer_starts = false;
   bool m_is_stopped = false;
   std::optional<VoterId> m_leader;
-  MonoTime m_last_role_change;
 };
 
 }  // namespace jujube::controld
--- a/src/net/feed_server.cc
+++ b/src/net/feed_server.cc
@@ -1,5 +1,6 @@
 #include "net/feed_server.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +25,9 @@
   struct Subscription {
     std::weak_ptr<FrameConnection> m_connection;
     feed::Cursor m_cursor;
+    // Latest time at which the state that the subscriber was sent was known to
+    // be current; the epoch if never.
+    MonoTime m_current_at{};
   };
 
   Impl(asio::io_context& context,
@@ -38,6 +42,7 @@
   void SendNext(const FrameConnection* key);
   void SendNextToAll();
   void ScheduleHeartbeat();
+  void SendHeartbeats();
 
   asio::steady_timer m_timer;
   FeedServerOptions m_options;
@@ -102,19 +107,32 @@
     const auto server = self.lock();
     if (error || !server || server->m_stopped)
       return;
-    const auto age = server->m_options.m_origin_age
-                         ? server->m_options.m_origin_age()
-                         : std::chrono::milliseconds(0);
-    for (const auto& [key, subscription] : server->m_subscriptions) {
-      const auto connection = subscription.m_connection.lock();
-      if (connection && connection->QueuedBytes() < kMaxQueuedBytesForHeartbeat)
-        connection->Send(FeedStatus{.m_origin_age = age});
-    }
+    server->SendHeartbeats();
     server->m_publisher.ReleaseUnusedSnapshot();
     server->ScheduleHeartbeat();
   });
 }
 
+// A heartbeat can overtake a change that waits until the queue is empty, so it
+// confirms the state only if the subscriber was sent all of it.
+void FeedServer::Impl::SendHeartbeats() {
+  const MonoTime now = MonoClock::now();
+  const MonoTime state_current_at =
+      m_options.m_origin_age ? now - m_options.m_origin_age() : now;
+  for (auto& [key, subscription] : m_subscriptions) {
+    if (m_publisher.IsUpToDate(subscription.m_cursor)) {
+      subscription.m_current_at =
+          std::max(subscription.m_current_at, state_current_at);
+    }
+    const auto connection = subscription.m_connection.lock();
+    if (!connection || connection->QueuedBytes() >= kMaxQueuedBytesForHeartbeat)
+      continue;
+    connection->Send(FeedStatus{
+        .m_origin_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - subscription.m_current_at)});
+  }
+}
+
 FeedServer::FeedServer(asio::io_context& context,
                        const FeedServerOptions& options,
                        feed::StatusTable& table)
--- a/src/net/feed_server.h
+++ b/src/net/feed_server.h
@@ -35,8 +35,8 @@
   // intervals switches to another parent.
   std::chrono::milliseconds m_heartbeat{1000};
   // Returns the time since the state was last known to be current, which is
-  // sent with each heartbeat. A relay returns FeedClient::OriginAge, a voter
-  // the time since it last had contact with a quorum or the leader. Empty:
+  // sent with each heartbeat to a subscriber that was sent all of the state. A
+  // relay returns FeedClient::OriginAge, a voter ReplicaRunner::StateAge. Empty:
   // always 0.
   std::function<std::chrono::milliseconds()> m_origin_age;
 };
--- a/tests/process/control_test.cc
+++ b/tests/process/control_test.cc
@@ -209,6 +209,28 @@
   EXPECT_TRUE(healed->m_state.m_drains.empty());
 }
 
+// Guards against an age of the configuration that starts again with each
+// candidacy: the subscribers of an isolated host then take its configuration to
+// be current.
+TEST_F(ControlProcesses, AgeOfAnIsolatedHostGrows) {
+  m_cluster.StartAll();
+  ApplyDocuments(1, 1);
+  const int follower = (m_cluster.WaitForLeader() + 1) % 3;
+  m_cluster.WaitForDocument(follower, 1);
+  m_cluster.Isolate(follower);
+  // Several times the longest election timeout of the cluster, which is 1 s.
+  constexpr std::uint64_t kAgeMs = 4000;
+  WaitUntil("the follower reports an age beyond its election timeouts", [&] {
+    const std::string metrics =
+        m_cluster.Call(follower, "GET", "/metrics").m_body;
+    const std::string name = "\njujube_feed_age_milliseconds ";
+    const std::size_t position = metrics.find(name);
+    return position != std::string::npos &&
+           std::stoull(metrics.substr(position + name.size())) > kAgeMs;
+  });
+  m_cluster.Heal(follower);
+}
+
 // ---- Operators -------------------------------------------------------------
 
 // Guards against two concurrent documents with the same number that are both
--- a/tests/unit/consensus_replica_test.cc
+++ b/tests/unit/consensus_replica_test.cc
@@ -130,6 +130,59 @@
   EXPECT_EQ(replica.Status().m_term, 1U);
 }
 
+// Guards against a follower whose state is served as current although it lacks
+// changes that its leader has committed.
+TEST(ConsensusReplica, FollowerIsCurrentOnceItAppliedTheLeadersCommits) {
+  Replica replica(voter_a, {}, Restored(1, 0), kStart);
+  const MonoTime now = kStart + milliseconds(100);
+  AppendRequest request{voter_b, voter_a, 2};
+  request.m_entries = {{.m_index = 1, .m_term = 2}};
+  request.m_commit_index = 2;
+  const Actions first = replica.Step(now, MessageReceived{request});
+  replica.Step(now, SyncDone{first.m_persist->m_number});
+  EXPECT_EQ(replica.Status().m_applied_index, 1U);
+  EXPECT_EQ(replica.Status().m_current_at, MonoTime{});
+  request.m_previous_index = 1;
+  request.m_previous_term = 2;
+  request.m_entries = {{.m_index = 2, .m_term = 2}};
+  const Actions second = replica.Step(now, MessageReceived{request});
+  EXPECT_EQ(replica.Status().m_current_at, MonoTime{});
+  replica.Step(now + milliseconds(5), SyncDone{second.m_persist->m_number});
+  EXPECT_EQ(replica.Status().m_current_at, now);
+}
+
+// Guards against trusting the commit index of a new leader, which may be behind
+// changes that the leader before it acknowledged.
+TEST(ConsensusReplica, FollowerOfANewLeaderIsNotCurrentBeforeItsFirstCommit) {
+  Replica replica(voter_a, {}, Restored(1, 1), kStart);
+  AppendRequest request{voter_b, voter_a, 2};
+  request.m_previous_index = 1;
+  request.m_previous_term = 1;
+  request.m_commit_index = 1;
+  replica.Step(kStart + milliseconds(100), MessageReceived{request});
+  EXPECT_EQ(replica.Status().m_applied_index, 1U);
+  EXPECT_EQ(replica.Status().m_current_at, MonoTime{});
+}
+
+// Guards against an age that starts again with each candidacy of an isolated
+// replica, so that its subscribers never look for another one.
+TEST(ConsensusCluster, IsolatedReplicasStopBeingCurrent) {
+  Cluster cluster(3, 3);
+  const std::size_t leader = cluster.ElectLeader();
+  const std::size_t follower = (leader + 1) % 3;
+  for (const std::size_t isolated : {leader, follower}) {
+    const auto age = [&] {
+      return cluster.Now() - cluster.Status(isolated).m_current_at;
+    };
+    EXPECT_LT(age(), milliseconds(300));
+    cluster.NodeAt(isolated).m_isolated = true;
+    cluster.RunFor(milliseconds(6000));
+    EXPECT_GE(age(), milliseconds(6000));
+    cluster.NodeAt(isolated).m_isolated = false;
+    cluster.RunFor(milliseconds(3000));
+  }
+}
+
 // Guards against appending entries that do not follow the previous index.
 TEST(ConsensusReplica, EntriesOutOfSequenceAreIgnored) {
   Replica replica(voter_a, {}, Restored(1, 0), kStart);
