Serve no route after a start before the configuration is confirmed

What callers would see: an entry host that restarts serves an older configuration than callers saw from it before. Its feed parent may be a control host without a quorum, and the entry host keeps nothing over a restart.

Cause: a host was ready and served as soon as it had any configuration.

Change: with discovered control hosts, an entry host is not ready and answers 503 until a control host has confirmed once, within the last 1.7 s, that the configuration is the newest. A parent sends its first status as soon as the subscriber has everything, so a start does not wait for the next heartbeat. A host that has been confirmed once keeps serving without control hosts, as before.

Weighed against it: a lease, after which every host without confirmation refuses all requests. It would stop all traffic in each election that takes longer than the lease, and the product must serve without its control hosts.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -270,9 +270,8 @@
   RecordEvent(not_started ? request::AttemptEvent::kResponseHeadNotStarted
                           : request::AttemptEvent::kResponseHead);
   if (not_started) {
-    m_connection->SetDeadline(
-        std::min(m_deadline,
-                 MonoClock::now() + attempt_internal::kRefusalBodyTimeout));
+    m_connection->SetDeadline(std::min(
+        m_deadline, MonoClock::now() + attempt_internal::kRefusalBodyTimeout));
   }
   std::string body;
   std::array<char, attempt_internal::kChunkBytes> chunk{};
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -96,6 +96,7 @@
       m_feed_state(std::make_shared<const FeedState>()),
       m_lookup(std::make_shared<const lookup::Table>()),
       m_routes(std::make_shared<const steering::RouteTable>()),
+      m_is_config_confirmed(!shared.m_settings.m_discovers_control),
       m_registry(MakeRegistryLimits(shared.m_settings)),
       m_allotments(shared.m_settings.m_host, shared.m_incarnation),
       // Not null: the first tick may precede the first feed state.
@@ -189,7 +190,8 @@
 // Updates the readiness of this host and reports it to the control hosts, which
 // direct callers here only while it is ready.
 void EntryControl::UpdatePresence() {
-  const bool is_ready = m_feed_state->m_deployment.m_number > 0 && !m_drain;
+  const bool is_ready = m_feed_state->m_deployment.m_number > 0 &&
+                        m_is_config_confirmed && !m_drain;
   const bool is_changed = m_is_ready.exchange(is_ready) != is_ready;
   if (!m_shared.m_settings.m_discovers_control)
     return;
@@ -384,7 +386,9 @@
                             m_shared.m_settings.m_availability_zone);
   view->m_lookup = m_lookup;
   view->m_upstreams = m_upstreams;
-  view->m_routes = m_routes;
+  view->m_routes = m_is_config_confirmed
+                       ? m_routes
+                       : std::make_shared<const steering::RouteTable>();
   view->m_limits = UsesAllotments() ? m_allotments.Table() : nullptr;
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
@@ -430,8 +434,7 @@
   }
   AdvanceDrain(now);
   SwitchToNewerFeed(now);
-  if (m_feed_client && !m_behind_since)
-    m_shared.m_config_confirmed_at.store(now - m_feed_client->OriginAge());
+  UpdateConfigConfirmation(now);
   UpdatePresence();
   if (m_is_view_outdated)
     PublishView();
@@ -439,6 +442,17 @@
     UpdateMetrics(now);
 }
 
+void EntryControl::UpdateConfigConfirmation(MonoTime now) {
+  if (!m_feed_client || m_behind_since)
+    return;
+  const MonoTime confirmed_at = now - m_feed_client->OriginAge();
+  m_shared.m_config_confirmed_at.store(confirmed_at);
+  if (m_is_config_confirmed || now - confirmed_at > kMaxConfigAge)
+    return;
+  m_is_config_confirmed = true;
+  MarkViewOutdated();
+}
+
 void EntryControl::UpdateMetrics(MonoTime now) {
   const auto lease_left =
       std::chrono::duration_cast<milliseconds>(m_allotments.LeaseEnd() - now);
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -59,8 +59,8 @@
   // True if the drain limit passed while requests were still in progress.
   bool WasDrainCutShort() const;
 
-  // True if a configuration is in force and no planned stop has begun. May be
-  // called on any thread.
+  // True if a configuration is in force, was confirmed to be the newest once,
+  // and no planned stop has begun. May be called on any thread.
   bool IsReady() const { return m_is_ready.load(std::memory_order_relaxed); }
 
   EntryStatus CurrentStatus() const;
@@ -84,6 +84,7 @@
   boost::asio::awaitable<void> TickLoop();
   void Tick(MonoTime now);
   void AdvanceDrain(MonoTime now);
+  void UpdateConfigConfirmation(MonoTime now);
   void UpdateMetrics(MonoTime now);
   boost::asio::awaitable<void> RenewLoop();
   boost::asio::awaitable<void> RenewOnce();
@@ -100,6 +101,10 @@
   std::shared_ptr<const FeedState> m_feed_state;  // configuration in force
   std::shared_ptr<const lookup::Table> m_lookup;
   std::shared_ptr<const steering::RouteTable> m_routes;
+  // False with discovered control hosts until one of them has confirmed the
+  // configuration once. Until then no route is served, since callers may have
+  // seen a newer configuration before this process started.
+  bool m_is_config_confirmed;
   membership::Registry m_registry;
   std::uint64_t m_published_registry_version = 0;
   steering::CounterTable m_counters;
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 
 #include "core/clock.h"
@@ -16,6 +17,12 @@
 
 namespace jujube::entry {
 
+// The feed confirms every 500 ms that the configuration is the newest. If the
+// last confirmation is older than this, an unknown path gets 503 instead of
+// 404, because its route may have been added meanwhile, and a host that has just
+// started serves no route yet. Changes must be in force within 2 s.
+inline constexpr std::chrono::milliseconds kMaxConfigAge{1700};
+
 struct EntryShared {
   EntryShared(EntrySettings settings,
               std::uint64_t incarnation,
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -36,12 +36,6 @@
 // an affinity key may all be in an availability zone that lost power.
 inline constexpr std::uint32_t kMaxConnectTimeouts = 4;
 
-// The feed confirms every second that the configuration is the newest. If the
-// last confirmation is older than this, an unknown path gets 503 instead of
-// 404, because its route may have been added meanwhile. Changes must be in
-// force within 2 s.
-inline constexpr std::chrono::milliseconds kMaxConfigAge{1700};
-
 inline constexpr std::uint16_t kMinServerError = 500;
 inline constexpr std::uint16_t kServiceUnavailable = 503;
 // Retry-After if the route could not be determined. A slot becomes free or a
@@ -237,7 +231,7 @@
 bool Forwarder<D, P>::MayBeOutdated() const {
   return m_shared.m_settings.m_discovers_control &&
          MonoClock::now() - m_shared.m_config_confirmed_at.load() >
-             forwarder_internal::kMaxConfigAge;
+             kMaxConfigAge;
 }
 
 template <Dialect D, steering::SelectionPolicy P>
--- a/src/net/feed_server.cc
+++ b/src/net/feed_server.cc
@@ -11,6 +11,7 @@
 namespace jujube::net {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -28,6 +29,7 @@
     // Latest time at which the state that the subscriber was sent was known to
     // be current; the epoch if never.
     MonoTime m_current_at{};
+    bool m_was_sent_status = false;
   };
 
   Impl(asio::io_context& context,
@@ -42,7 +44,7 @@
   void SendNext(const FrameConnection* key);
   void SendNextToAll();
   void ScheduleHeartbeat();
-  void SendHeartbeats();
+  void SendStatus(Subscription* subscription);
 
   asio::steady_timer m_timer;
   FeedServerOptions m_options;
@@ -86,6 +88,10 @@
   if (!connection || !connection->IsOpen() || connection->QueuedBytes() > 0)
     return;
   const auto message = m_publisher.NextMessage(&found->second.m_cursor);
+  // A new subscriber need not wait for the next heartbeat to know that it has
+  // the newest state.
+  if (!message && !found->second.m_was_sent_status)
+    SendStatus(&found->second);
   if (message &&
       !connection->SendEncoded(message->m_type, message->m_payload)) {
     // The cursor is already past the message that could not be queued. Close
@@ -107,7 +113,8 @@
     const auto server = self.lock();
     if (error || !server || server->m_stopped)
       return;
-    server->SendHeartbeats();
+    for (auto& [key, subscription] : server->m_subscriptions)
+      server->SendStatus(&subscription);
     server->m_publisher.ReleaseUnusedSnapshot();
     server->ScheduleHeartbeat();
   });
@@ -115,22 +122,21 @@
 
 // A heartbeat can overtake a change that waits until the queue is empty, so it
 // confirms the state only if the subscriber was sent all of it.
-void FeedServer::Impl::SendHeartbeats() {
+void FeedServer::Impl::SendStatus(Subscription* subscription) {
   const MonoTime now = MonoClock::now();
-  const MonoTime state_current_at =
-      m_options.m_origin_age ? now - m_options.m_origin_age() : now;
-  for (auto& [key, subscription] : m_subscriptions) {
-    if (m_publisher.IsUpToDate(subscription.m_cursor)) {
-      subscription.m_current_at =
-          std::max(subscription.m_current_at, state_current_at);
-    }
-    const auto connection = subscription.m_connection.lock();
-    if (!connection || connection->QueuedBytes() >= kMaxQueuedBytesForHeartbeat)
-      continue;
-    connection->Send(FeedStatus{
-        .m_origin_age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - subscription.m_current_at)});
+  if (m_publisher.IsUpToDate(subscription->m_cursor)) {
+    const auto state_age =
+        m_options.m_origin_age ? m_options.m_origin_age() : milliseconds(0);
+    subscription->m_current_at =
+        std::max(subscription->m_current_at, now - state_age);
   }
+  const auto connection = subscription->m_connection.lock();
+  if (!connection || connection->QueuedBytes() >= kMaxQueuedBytesForHeartbeat)
+    return;
+  subscription->m_was_sent_status = true;
+  connection->Send(
+      FeedStatus{.m_origin_age = std::chrono::duration_cast<milliseconds>(
+                     now - subscription->m_current_at)});
 }
 
 FeedServer::FeedServer(asio::io_context& context,
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -263,6 +263,40 @@
   });
 }
 
+// Guards against an entry host that restarts and serves the configuration of a
+// control host without a quorum, which may be older than what callers saw
+// before.
+TEST_F(DiscoveryTest, RestartedEntryHostServesOnlyAConfirmedConfiguration) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("both unnamed hosts are voters", [&] { return HasPromotions(2); });
+  const auto is_ready = [] {
+    return Call({.m_address = AddressOf(kEntryHost), .m_port = kReadyPort},
+                "GET /ready")
+               .m_status == 200;
+  };
+  WaitUntil("the entry host is ready", is_ready);
+  for (const std::size_t host : {1, 2, 3})
+    m_hosts.at(host)->Kill();
+  WaitUntil("no control host has confirmed the configuration lately", [&] {
+    return Call({.m_address = AddressOf(kEntryHost), .m_port = kRequestPort},
+                "GET /unknown/1")
+               .m_status == 503;
+  });
+  m_hosts.at(kEntryHost)->Kill();
+  Start(kEntryHost);
+  // Long enough to receive the configuration of a control host that is left.
+  constexpr int kChecks = 30;
+  for (int i = 0; i < kChecks; ++i) {
+    EXPECT_FALSE(is_ready());
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  for (const std::size_t host : {1, 2, 3})
+    Start(host, false);
+  WaitUntil("the entry host is ready again", is_ready);
+}
+
 // Guards against a leave that is acknowledged before entry hosts apply it.
 // Covers announcement, route, request, leave and planned stop.
 TEST_F(DiscoveryTest, EntryHostServesAnnouncedUpstream) {
