--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -19,8 +19,8 @@
 
 // The feed confirms every 500 ms that the configuration is the newest. If the
 // last confirmation is older than this, an unknown path gets 503 instead of
-// 404, because its route may have been added meanwhile, and a host that has just
-// started serves no route yet. Changes must be in force within 2 s.
+// 404, because its route may have been added meanwhile, and a host that has
+// just started serves no route yet. Changes must be in force within 2 s.
 inline constexpr std::chrono::milliseconds kMaxConfigAge{1700};
 
 struct EntryShared {
--- a/src/net/feed_server.h
+++ b/src/net/feed_server.h
@@ -36,8 +36,8 @@
   std::chrono::milliseconds m_heartbeat{1000};
   // Returns the time since the state was last known to be current, which is
   // sent with each heartbeat to a subscriber that was sent all of the state. A
-  // relay returns FeedClient::OriginAge, a voter ReplicaRunner::StateAge. Empty:
-  // always 0.
+  // relay returns FeedClient::OriginAge, a voter ReplicaRunner::StateAge.
+  // Empty: always 0.
   std::function<std::chrono::milliseconds()> m_origin_age;
 };
 
--- a/tests/unit/net_http_connection_test.cc
+++ b/tests/unit/net_http_connection_test.cc
@@ -102,7 +102,7 @@
 // end with the close of their connection.
 TEST(HttpConnection, EveryProperPrefixOfAResponseIsIncomplete) {
   const std::vector<std::string> responses = {
-      "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nContent-Length: 12\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 12\r\n\r\n"
       "diesel, 40 l",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
       "4\r\nfuel\r\n0\r\n\r\n",
@@ -125,7 +125,7 @@
 // Guards against a close in the middle of a head without a length, which must
 // not end a response that only the close delimits.
 TEST(HttpConnection, CloseDelimitedResponseNeedsAWholeHead) {
-  const std::string head = "HTTP/1.1 200 OK\r\nServer-Seal: 3e\r\n\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n";
   std::vector<std::string> texts;
   for (std::size_t size = 0; size <= head.size(); ++size)
     texts.push_back(head.substr(0, size));
