--- a/tests/soak/http_io.py
+++ b/tests/soak/http_io.py
@@ -19,7 +19,7 @@
 async def read_message(reader):
     """Reads a message with a Content-Length or chunked body; None at the end of the stream.
 
-    Raises EOFError if it is truncated, except between chunks; ValueError if it is malformed.
+    Raises EOFError if it is truncated; ValueError if it is malformed.
     """
     start = await reader.readline()
     if not start:
@@ -51,13 +51,20 @@
 
 async def _read_chunks(reader):
     body = b""
-    while size := int((await reader.readline()).split(b";")[0] or b"0", 16):
+    while size := int((await _read_line(reader)).split(b";")[0], 16):
         body += await _read_exactly(reader, size)
         await _read_exactly(reader, 2)
-    await reader.readline()
+    await _read_line(reader)
     return body
 
 
+async def _read_line(reader):
+    line = await reader.readline()
+    if not line.endswith(b"\r\n"):
+        raise EOFError("chunk is truncated")
+    return line
+
+
 def encode(start, headers, body=b""):
     lines = [start] + [f"{name}: {value}" for name, value in headers.items()]
     lines += [f"Content-Length: {len(body)}", "", ""]
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -48,8 +48,7 @@
     def record_response(self, request_id, status):
         self.statuses[request_id] = status
         self.count(f"status {status}")
-        if status in NOT_RUN_STATUSES and self.runs.get(request_id) and \
-                self.kinds[request_id] == "at_most_once":
+        if status in NOT_RUN_STATUSES and self.runs.get(request_id):
             self.report("refusal that says not run", f"{request_id} ran, status {status}")
 
     def check_read(self, number, acknowledged_before):
--- a/tests/soak/ledger_test.py
+++ b/tests/soak/ledger_test.py
@@ -38,6 +38,12 @@
         self.ledger.record_response("r", 503)
         self.assertEqual(self.violations(), ["ran after a refusal", "refusal that says not run"])
 
+    def test_reports_a_not_run_status_of_a_repeatable_request_that_ran(self):
+        self.ledger.record_request("g", "repeatable")
+        self.ledger.record_run("g", upstream(), request())
+        self.ledger.record_response("g", 503)
+        self.assertEqual(self.violations(), ["refusal that says not run"])
+
     def test_reports_unknown_and_changed_requests(self):
         self.ledger.record_run("x", upstream(), request())
         self.ledger.record_run("r", upstream(), request(b"fu"))
