--- a/tests/unit/net_http_connection_test.cc
+++ b/tests/unit/net_http_connection_test.cc
@@ -1,5 +1,6 @@
 // Tests of HttpConnection with a server that sends given bytes and then closes.
 
+#include <array>
 #include <future>
 #include <memory>
 #include <string>
