--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -28,6 +28,10 @@
                 await self._send(entry)
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
+    def close(self):
+        for _, writer in self._connections.values():
+            writer.close()
+
     async def _choose_entry(self):
         """Returns a connected entry host, or in one call of ten one from the directory, or None."""
         if self.random.random() < 0.1 or not self._connections:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,7 @@
         self.ledger = Ledger()
         self.system = System(folder, options.build, CONTROLS, options.entries)
         self.proxies = []
+        self.callers = []
         self.upstreams = []
         self.directory_endpoints = []
         self.control_endpoints = []
@@ -147,6 +148,8 @@
             self._check_leader_per_term()
         finally:
             self._is_shutting_down = True
+            for caller in self.callers:
+                caller.close()
             for upstream in self.upstreams:
                 upstream.crash()
             for proxy in self.proxies:
@@ -194,9 +197,9 @@
 
     async def _run_workload(self):
         self._end = time.monotonic() + self.options.seconds
-        callers = [Caller(f"c{i}", self, self.options.seed * 100 + i)
-                   for i in range(self.options.callers)]
-        work = [asyncio.create_task(caller.run()) for caller in callers]
+        self.callers = [Caller(f"c{i}", self, self.options.seed * 100 + i)
+                        for i in range(self.options.callers)]
+        work = [asyncio.create_task(caller.run()) for caller in self.callers]
         work.append(asyncio.create_task(self.operators.run()))
         fault_tasks = [asyncio.create_task(self._inject_faults(lane))
                    for lane in range(self.options.lanes)]
