Keep a feed parent that has the newest configuration

Symptom: an entry host handled requests by a configuration that was replaced 4 s before.

Cause: an entry host that is behind left its feed parent for the control host that had last reported the newest index. All of them report it, so that was another one each time. Four round trips on a link with a long queue take longer than the 0.8 s between two switches, so each switch ended a transfer that had not completed.

Evidence: the log of edge-cerro-a-1 has FeedParentChanged (lags behind) at 9.95, 10.97, 11.88, 12.69 and 13.51 s, and a request handled by version 45 at 13.98 s; version 50 was acknowledged at 9.84 s. Ruled out: a control host without the change, since each of the new parents had reported it.

MustLeaveParent keeps a parent that has reported the newest index while it delivers, and for 5 s if it does not.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/endpoint_text.h"
+#include "entry/feed_lag.h"
 #include "feed/change.h"
 #include "limits/topology.h"
 #include "observe/log.h"
@@ -39,14 +40,6 @@
 // after three lost heartbeats.
 constexpr milliseconds kPresenceInterval{500};
 constexpr milliseconds kControlTimeout{1700};
-// Time for a change that the feed parent has already sent to arrive.
-constexpr milliseconds kFeedLagAllowance{150};
-// Connecting, the handshake and the subscription take four round trips,
-// 300 ms between regions. Switching again earlier would restart them.
-constexpr milliseconds kMinParentSwitchInterval{800};
-// Time for the current parent to deliver a large change: 500 routes take about
-// a second on a 5 Mbit/s link that also carries requests.
-constexpr milliseconds kSameParentTimeout{1500};
 
 membership::RegistryLimits MakeRegistryLimits(const EntrySettings& settings) {
   membership::RegistryLimits limits;
@@ -149,6 +142,8 @@
     MarkViewOutdated();
   }
   const std::optional<Endpoint> sender = ParseEndpoint(delta.m_host.m_value);
+  if (sender)
+    m_feed_index_by_host[*sender] = delta.m_feed_index;
   if (sender && delta.m_feed_index >= m_newest_feed_index) {
     m_newest_feed_index = delta.m_feed_index;
     m_newest_feed_host = *sender;
@@ -165,9 +160,8 @@
   m_peers.SetPeers(hosts);
 }
 
-// Switches the feed to the control host with the newest state, since the
-// current parent may be partitioned from the others. Changes that the current
-// parent has already sent get kFeedLagAllowance to arrive.
+// Switches the feed to the control host with the newest state if the current
+// parent lacks it, for example because it is partitioned from the others.
 void EntryControl::SwitchToNewerFeed(MonoTime now) {
   if (!m_feed_client || m_newest_feed_index <= m_feed_state->m_index) {
     m_behind_since.reset();
@@ -175,13 +169,15 @@
   }
   if (!m_behind_since)
     m_behind_since = now;
-  if (now - *m_behind_since < kFeedLagAllowance ||
-      now - m_parent_switched_at < kMinParentSwitchInterval)
-    return;
-  // The current parent may still be sending a large change.
-  if (m_feed_client->ParentEndpoint() == m_newest_feed_host &&
-      now - std::max(*m_behind_since, m_parent_switched_at) <
-          kSameParentTimeout)
+  const auto parent =
+      m_feed_index_by_host.find(m_feed_client->ParentEndpoint());
+  const FeedLag lag{
+      .m_behind_since = *m_behind_since,
+      .m_advanced_at = m_feed_advanced_at,
+      .m_parent_switched_at = m_parent_switched_at,
+      .m_parent_has_newest = parent != m_feed_index_by_host.end() &&
+                             parent->second >= m_newest_feed_index};
+  if (!MustLeaveParent(lag, now))
     return;
   m_parent_switched_at = now;
   m_feed_client->SwitchTo(m_newest_feed_host);
@@ -287,6 +283,7 @@
 
 void EntryControl::ApplyFeedState(std::shared_ptr<const FeedState> state) {
   m_feed_state = std::move(state);
+  m_feed_advanced_at = MonoClock::now();
   if (!m_shared.m_settings.m_discovers_control) {
     m_peers.SetPeers(net::EntryPeersOf(m_feed_state->m_deployment,
                                        m_shared.m_settings.m_host));
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -122,9 +122,11 @@
   std::function<void()> m_on_drained;
   ControlMetrics m_metrics;
   std::map<HostId, std::vector<Endpoint>>
-      m_control_hosts_by_sender;          // lists reported by control hosts
+      m_control_hosts_by_sender;  // lists reported by control hosts
+  std::map<Endpoint, std::uint64_t> m_feed_index_by_host;  // last reported ones
   std::uint64_t m_newest_feed_index = 0;  // highest that control hosts reported
   Endpoint m_newest_feed_host;            // control host that last reported it
+  MonoTime m_feed_advanced_at;            // last change of m_feed_state
   MonoTime m_parent_switched_at;          // last switch of the feed parent
   // Time since which m_newest_feed_index is higher than the index of
   // m_feed_state; empty if it is not.
