Log what the acknowledgement of a leave rests on

The logs cannot distinguish three hypotheses: a leave with an outdated sequence, an acknowledgement by a control host that does not hear the entry hosts, and a leave that is stated in responses only.

Responses are read through one value, InstanceReport, which replaces ReportedLoad of the dialects. Nothing is selected differently.

--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -286,6 +286,13 @@
   co_return false;
 }
 
+EntryHostCount DiscoveryService::CountEntryHosts(MonoTime now) const {
+  EntryHostCount count{.m_known = m_subscribers.size()};
+  for (const auto& [host, subscriber] : m_subscribers)
+    count.m_live += IsLive(subscriber, now) ? 1 : 0;
+  return count;
+}
+
 std::vector<ReadyEntryHost> DiscoveryService::ReadyEntryHosts(
     MonoTime now) const {
   std::vector<ReadyEntryHost> hosts;
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -21,6 +21,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -52,6 +53,15 @@
                           const ReadyEntryHost&) = default;
 };
 
+// Entry hosts from which this control host has received a delta.
+struct EntryHostCount {
+  std::size_t m_known = 0;  // lately or not
+  std::size_t m_live = 0;   // within kEntryHostTimeout
+
+  friend auto operator<=>(const EntryHostCount&,
+                          const EntryHostCount&) = default;
+};
+
 struct DiscoveryOptions {
   HostId m_host;                                      // this control host
   std::chrono::milliseconds m_announcement_interval;  // of the upstreams
@@ -93,6 +103,7 @@
                                                MonoTime deadline);
 
   std::vector<ReadyEntryHost> ReadyEntryHosts(MonoTime now) const;
+  EntryHostCount CountEntryHosts(MonoTime now) const;
 
  private:
   struct Subscriber {
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -50,8 +50,6 @@
   bool m_is_cancelled = false;
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
-  // Load of the instance, if the response states it.
-  std::optional<std::uint32_t> m_reported_load;
 };
 
 template <Dialect D>
@@ -99,6 +97,9 @@
   boost::asio::awaitable<bool> StreamRequestBody();
   boost::asio::awaitable<std::optional<ResponseHead>> ReadHead(
       const steering::InstanceCounters& counters);
+  // Records what the instance states about itself.
+  void RecordReport(const ResponseHead& head,
+                    const steering::Selection& selection) const;
   boost::asio::awaitable<void> ReceiveResponse(ResponseHead& head,
                                                bool has_body);
   // Reads a chunk of the response body. Returns 0 at its end, nullopt on
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -11,6 +11,7 @@
 
 #include "entry/refusal.h"
 #include "net/http_fields.h"
+#include "observe/log.h"
 
 namespace jujube::entry {
 
@@ -76,6 +77,7 @@
     co_return std::move(m_result);
   }
   response.SetAttribute("http.status", head->m_status);
+  RecordReport(*head, selection);
   const bool has_body = request.m_head.m_method != "HEAD";
   const bool names_request = D::NamesRequest(*head);
   co_await ReceiveResponse(*head, has_body);
@@ -254,6 +256,23 @@
   co_return count.value();
 }
 
+template <Dialect D>
+void AttemptRunner<D>::RecordReport(
+    const ResponseHead& head,
+    const steering::Selection& selection) const {
+  // The response comes from another instance, which has taken over the address.
+  if (head.m_status == attempt_internal::kMisdirectedRequest)
+    return;
+  const bool is_leave_new = selection.m_slot.Counters()->RecordReport(
+      D::ReportOf(head), MonoClock::now());
+  if (is_leave_new) {
+    observe::Log(LogEvent::kInstanceStatedLeave,
+                 {{"service", m_route.m_service.m_value},
+                  {"instance", selection.m_instance.m_value},
+                  {"incarnation", selection.m_incarnation}});
+  }
+}
+
 template <Dialect D>
 asio::awaitable<void> AttemptRunner<D>::ReceiveResponse(ResponseHead& head,
                                                         bool has_body) {
@@ -265,7 +284,6 @@
         MakeError(ErrorCode::kIo, "the response belongs to another request"));
     co_return;
   }
-  m_result.m_reported_load = D::ReportedLoad(head);
   const bool not_started = D::IsNotStarted(head);
   RecordEvent(not_started ? request::AttemptEvent::kResponseHeadNotStarted
                           : request::AttemptEvent::kResponseHead);
--- a/src/entry/dialect.h
+++ b/src/entry/dialect.h
@@ -18,8 +18,7 @@
 //   request.
 // - NamesRequest: whether the response states which request it answers.
 // - IsResponseTo: whether the response belongs to the request.
-// - ReportedLoad: number of requests at the instance, if the response
-//   states it.
+// - ReportOf: what the instance states about itself in the response.
 // - EndToEndHeaders: returns the header fields for the caller: those of the
 //   upstream that may be forwarded, and any that the dialect adds.
 // - RefusalHead, RefusalText: head and body of a response that the entry host
@@ -38,6 +37,7 @@
 #include "entry/route.h"
 #include "entry/serving_view.h"
 #include "gen/http.h"
+#include "gen/instance_report.h"
 #include "steering/selection.h"
 
 namespace jujube::entry {
@@ -60,7 +60,7 @@
   { D::IsNotStarted(response) } -> std::same_as<bool>;
   { D::NamesRequest(response) } -> std::same_as<bool>;
   { D::IsResponseTo(response, route) } -> std::same_as<bool>;
-  { D::ReportedLoad(response) } -> std::same_as<std::optional<std::uint32_t>>;
+  { D::ReportOf(response) } -> std::same_as<InstanceReport>;
   {
     D::EndToEndHeaders(response.m_headers)
     } -> std::same_as<std::vector<Header>>;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -604,8 +604,6 @@
       forwarder_internal::OutcomeOf(result);
   if (outcome)
     selection.m_slot.Counters()->Record(*outcome, ended - started, ended);
-  if (result.m_reported_load)
-    selection.m_slot.Counters()->ReportLoad(*result.m_reported_load, ended);
   co_return result;
 }
 
--- a/src/entry/native_dialect.cc
+++ b/src/entry/native_dialect.cc
@@ -8,6 +8,7 @@
 
 constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
 constexpr std::string_view kEarlierAttemptsField = "Jujube-Earlier-Attempts";
+constexpr std::string_view kLeavingField = "Jujube-Leaving";
 constexpr std::string_view kStartedField = "Jujube-Started";
 constexpr std::string_view kTraceparentField = "traceparent";
 constexpr std::string_view kVerdictField = "Jujube-Verdict";
@@ -65,9 +66,9 @@
   return true;
 }
 
-std::optional<std::uint32_t> NativeDialect::ReportedLoad(
-    const ResponseHead& /*head*/) {
-  return std::nullopt;
+InstanceReport NativeDialect::ReportOf(const ResponseHead& head) {
+  return {.m_is_leaving =
+              net::FindHeader(head.m_headers, kLeavingField) == "yes"};
 }
 
 std::vector<Header> NativeDialect::EndToEndHeaders(
@@ -75,6 +76,7 @@
   std::vector<Header> forwarded;
   for (const Header& header : headers) {
     if (!net::IsHopByHop(header.m_name) &&
+        !net::EqualsIgnoreCase(header.m_name, kLeavingField) &&
         !net::EqualsIgnoreCase(header.m_name, kVerdictField))
       forwarded.push_back(header);
   }
--- a/src/entry/native_dialect.h
+++ b/src/entry/native_dialect.h
@@ -29,7 +29,7 @@
   static bool IsNotStarted(const ResponseHead& head);
   static bool NamesRequest(const ResponseHead& head);
   static bool IsResponseTo(const ResponseHead& head, const Route& route);
-  static std::optional<std::uint32_t> ReportedLoad(const ResponseHead& head);
+  static InstanceReport ReportOf(const ResponseHead& head);
   static std::vector<Header> EndToEndHeaders(
       const std::vector<Header>& headers);
   static ResponseHead RefusalHead(const Refusal& refusal);
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -121,6 +121,9 @@
     case LogEvent::kLeaveNotConfirmed:
       return {325, LogLevel::kWarning, "LeaveNotConfirmed",
               "leave of an upstream not acknowledged in time"};
+    case LogEvent::kLeaveAcknowledged:
+      return {326, LogLevel::kInfo, "LeaveAcknowledged",
+              "leave of an upstream acknowledged"};
     case LogEvent::kClaimStoreFull:
       return {330, LogLevel::kError, "ClaimStoreFull", "claim store full"};
     case LogEvent::kClaimConflict:
@@ -146,6 +149,9 @@
     case LogEvent::kAnnouncementRefused:
       return {403, LogLevel::kWarning, "AnnouncementRefused",
               "announcement refused"};
+    case LogEvent::kInstanceStatedLeave:
+      return {404, LogLevel::kInfo, "InstanceStatedLeave",
+              "upstream instance stated in a response that it is leaving"};
     case LogEvent::kInstanceEjected:
       return {410, LogLevel::kWarning, "InstanceEjected",
               "upstream instance ejected"};
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -57,6 +57,7 @@
   kEntryHostAppeared = 323,        // state of an entry host changed
   kInstanceSilent = 324,           // upstream stopped sending announcements
   kLeaveNotConfirmed = 325,    // leave of an upstream not acknowledged in time
+  kLeaveAcknowledged = 326,    // leave of an upstream acknowledged
   kClaimStoreFull = 330,       // claim store full
   kClaimConflict = 331,        // Idempotency-Key reused for a different request
   kCapPending = 340,           // lowered cap not in force yet
@@ -66,8 +67,10 @@
   kInstanceExpired = 401,      // lease of an upstream instance expired
   kInstanceLeaving = 402,      // upstream instance is leaving
   kAnnouncementRefused = 403,  // announcement refused
-  kInstanceEjected = 410,      // upstream instance ejected
-  kEjectionBounded = 412,      // failing instance not ejected
+  kInstanceStatedLeave =
+      404,  // upstream instance stated in a response that it is leaving
+  kInstanceEjected = 410,  // upstream instance ejected
+  kEjectionBounded = 412,  // failing instance not ejected
   kShiftStep = 430,      // step of a shift of callers between regions proposed
   kHostDrainStep = 440,  // drain of this entry host advanced
   kHostDrainCutShort = 441,  // drain ended with requests in progress
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/hash.h"
+#include "observe/log.h"
 
 namespace jujube::net {
 
@@ -24,6 +25,15 @@
 // would cost connections without need.
 constexpr std::size_t kMaxEntryPeers = 16;
 
+void LogLeave(const Announcement& announcement, const HostId& sender) {
+  observe::Log(LogEvent::kInstanceLeaving,
+               {{"service", announcement.m_service.m_value},
+                {"instance", announcement.m_instance.m_value},
+                {"incarnation", announcement.m_incarnation},
+                {"sequence", announcement.m_sequence},
+                {"from", sender.m_value}});
+}
+
 }  // namespace
 
 std::vector<Endpoint> EntryPeersOf(const Deployment& deployment,
@@ -131,8 +141,10 @@
 }
 
 void PeerExchange::OnDelta(const RegistryDelta& delta, MonoTime now) {
-  for (const RegistryEntry& entry : delta.m_entries)
-    m_registry.Merge(entry, now);
+  for (const RegistryEntry& entry : delta.m_entries) {
+    if (m_registry.Merge(entry, now) == membership::MergeOutcome::kLeft)
+      LogLeave(entry.m_announcement, delta.m_host);
+  }
   HostState& state = m_host_states[delta.m_host];
   if (delta.m_incarnation < state.m_incarnation)
     return;
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -70,7 +70,15 @@
   m_last_outcome_at.store(now, std::memory_order_relaxed);
 }
 
-void InstanceCounters::ReportLoad(std::uint32_t total_in_progress,
+bool InstanceCounters::RecordReport(const InstanceReport& report,
+                                    MonoTime now) {
+  if (report.m_in_progress)
+    RecordLoad(*report.m_in_progress, now);
+  return report.m_is_leaving &&
+         !m_is_leaving.exchange(true, std::memory_order_relaxed);
+}
+
+void InstanceCounters::RecordLoad(std::uint32_t total_in_progress,
                                   MonoTime now) {
   const std::uint32_t own_in_progress =
       m_in_progress.load(std::memory_order_relaxed);
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 
 #include "core/clock.h"
+#include "gen/instance_report.h"
 #include "steering/atomic_average.h"
 #include "steering/observation.h"
 
@@ -39,9 +40,9 @@
   // instance look fast.
   void Record(Outcome outcome, std::chrono::nanoseconds latency, MonoTime now);
 
-  // Records the number of requests in progress at the instance, those of this
-  // host included, as a response reported it.
-  void ReportLoad(std::uint32_t total_in_progress, MonoTime now);
+  // Records what the instance stated in a response. Returns true if it is the
+  // first one that states that the instance is leaving.
+  bool RecordReport(const InstanceReport& report, MonoTime now);
 
   // The fields are read separately and may belong to different points in time.
   Observation Observe() const;
@@ -64,6 +65,9 @@
   void DecrementEjectionCount();
 
  private:
+  // `total_in_progress` includes the requests of this host.
+  void RecordLoad(std::uint32_t total_in_progress, MonoTime now);
+
   std::atomic<std::uint32_t> m_in_progress = 0;
   std::atomic<std::uint32_t> m_consecutive_failures = 0;
   std::atomic<std::uint32_t> m_outcome_count = 0;
@@ -76,6 +80,7 @@
   std::atomic<MonoTime> m_replaced_until{MonoTime{}};
   std::atomic<MonoTime> m_drain_ended_at{MonoTime{}};
   std::atomic<bool> m_was_draining = false;
+  std::atomic<bool> m_is_leaving = false;
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -280,9 +280,12 @@
   EXPECT_TRUE(RequestDialect::NamesRequest(matching));
   EXPECT_FALSE(RequestDialect::NamesRequest(refused));
   const ResponseHead with_load{.m_headers = {{"Server-Load", "3,2,8"}}};
-  EXPECT_EQ(RequestDialect::ReportedLoad(with_load), 5U);
+  EXPECT_EQ(RequestDialect::ReportOf(with_load).m_in_progress, 5U);
   const ResponseHead malformed_load{.m_headers = {{"Server-Load", "3;2"}}};
-  EXPECT_FALSE(RequestDialect::ReportedLoad(malformed_load));
+  EXPECT_FALSE(RequestDialect::ReportOf(malformed_load).m_in_progress);
+  const ResponseHead leaving{.m_headers = {{"Server-Leaving", "1"}}};
+  EXPECT_TRUE(RequestDialect::ReportOf(leaving).m_is_leaving);
+  EXPECT_FALSE(RequestDialect::ReportOf(with_load).m_is_leaving);
 }
 
 // Guards against a status that means "not run" for a request that may have run.
