Let a leave precede all other states of its incarnation

Cause: an upstream that leaves by POST .../leave states no sequence, so the control host derives one from the last announcement that it knows. Announcements that renew a lease go to the leader only, so another control host may know one that is 10 s old (sequence 31 of about 42). Hosts with a later announcement refused the leave as older, kept the upstream in service and confirmed the registry version, which the acknowledgement rests on. Class of the fault: a merge whose result depends on the order of delivery. Leaving was final only if it arrived with the highest sequence.

Leaving now precedes all other states of its incarnation, whatever the sequences, so that hosts agree in whatever order announcements arrive.

Registry.LeaveWithAnOldSequenceReplacesOtherStates and Registry.OrderOfDeliveryDoesNotMatter failed before the change.

--- a/src/membership/registry.cc
+++ b/src/membership/registry.cc
@@ -23,9 +23,15 @@
          announcement.m_availability_zone.m_value.size();
 }
 
+// Leaving is final for an incarnation, so it precedes all other states of the
+// incarnation regardless of the sequence: a control host derives the sequence
+// of a leave from the last announcement that it knows, and others may know a
+// later one.
 bool IsNewer(const Announcement& a, const Announcement& b) {
-  return std::tie(a.m_incarnation, a.m_sequence) >
-         std::tie(b.m_incarnation, b.m_sequence);
+  const bool is_a_leaving = a.m_state == UpstreamState::kLeaving;
+  const bool is_b_leaving = b.m_state == UpstreamState::kLeaving;
+  return std::tie(a.m_incarnation, is_a_leaving, a.m_sequence) >
+         std::tie(b.m_incarnation, is_b_leaving, b.m_sequence);
 }
 
 // A larger increase of the cold time means that the instance became cold again.
@@ -79,11 +85,13 @@
   const auto found = m_records.find(KeyOf(announcement));
   if (found != m_records.end()) {
     const Announcement& stored = found->second.m_member.m_announcement;
-    if (!IsNewer(announcement, stored))
-      return MergeOutcome::kOlder;
-    if (stored.m_state == UpstreamState::kLeaving && !is_leaving &&
-        stored.m_incarnation == announcement.m_incarnation)
-      return MergeOutcome::kFinal;
+    const bool is_final = stored.m_state == UpstreamState::kLeaving &&
+                          !is_leaving &&
+                          stored.m_incarnation == announcement.m_incarnation;
+    if (!IsNewer(announcement, stored)) {
+      const bool is_later = announcement.m_sequence > stored.m_sequence;
+      return is_final && is_later ? MergeOutcome::kFinal : MergeOutcome::kOlder;
+    }
   }
   if (!is_leaving && ClampDuration(entry.m_age) >= m_limits.m_lease_duration)
     return MergeOutcome::kTooLate;
--- a/src/membership/registry.h
+++ b/src/membership/registry.h
@@ -15,8 +15,9 @@
 //   cursor = page.m_end_version;
 //
 // Rules:
-// - An announcement replaces the stored one only if its (incarnation, sequence)
-//   is higher.
+// - An announcement replaces the stored one only if its (incarnation, leaving,
+//   sequence) is higher. Hosts that received the same announcements in any
+//   order therefore agree.
 // - A lease starts at the time of receipt minus the stated age. Readers also
 //   compare Member::m_expires with the current time, because a process that
 //   resumes after a suspension may serve a request before Expire runs.
--- a/tests/unit/membership_registry_test.cc
+++ b/tests/unit/membership_registry_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -50,6 +51,49 @@
             MergeOutcome::kAppeared);
 }
 
+// Guards against new work for a leaving instance whose leave was recorded by a
+// host that knows only an old announcement of it.
+TEST(Registry, LeaveWithAnOldSequenceReplacesOtherStates) {
+  Registry registry({});
+  registry.Merge(MakeEntry(1, 40), TimeAt(0));
+  EXPECT_EQ(
+      registry.Merge(MakeEntry(1, 31, UpstreamState::kLeaving), TimeAt(1)),
+      MergeOutcome::kLeft);
+  EXPECT_EQ(registry.Merge(MakeEntry(1, 42), TimeAt(2)), MergeOutcome::kFinal);
+  EXPECT_EQ(
+      registry.Merge(MakeEntry(0, 50, UpstreamState::kLeaving), TimeAt(3)),
+      MergeOutcome::kOlder);
+  EXPECT_EQ(registry.Merge(MakeEntry(2, 0), TimeAt(4)),
+            MergeOutcome::kAppeared);
+}
+
+// Guards against hosts that disagree about an instance for as long as it lives,
+// because they received the same announcements in different orders.
+TEST(Registry, OrderOfDeliveryDoesNotMatter) {
+  EXPECT_TRUE(CheckWithSeed(1, [] {
+    std::vector<RegistryEntry> entries;
+    const int count = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < count; ++i) {
+      // Announcements with the same incarnation and sequence are the same.
+      const auto incarnation = *rc::gen::inRange<std::uint64_t>(1, 3);
+      const auto sequence = *rc::gen::inRange<std::uint64_t>(1, 6);
+      const bool is_leaving = (incarnation * 7 + sequence) % 3 == 0;
+      entries.push_back(MakeEntry(
+          incarnation, sequence,
+          is_leaving ? UpstreamState::kLeaving : UpstreamState::kServing));
+    }
+    std::vector<Announcement> results;
+    for (int round = 0; round < 2; ++round) {
+      Registry registry({});
+      for (const RegistryEntry& entry : entries)
+        registry.Merge(entry, TimeAt(0));
+      results.push_back(registry.Snapshot().m_members.at(0).m_announcement);
+      std::reverse(entries.begin(), entries.end());
+    }
+    RC_ASSERT(results[0] == results[1]);
+  }));
+}
+
 // Guards against new work for a leaving instance after a later announcement of
 // the same incarnation.
 TEST(Registry, LeavingIsFinalForItsIncarnation) {
