Acknowledge a leave only where all entry hosts are heard

Cause: a leave is acknowledged once all entry hosts that the control host heard within 1.7 s have confirmed it. A control host that is cut off from everything hears none after that time, and a host that has just started hears none yet. The check for a known leader was made once, before waiting for up to 0.8 s, and a follower believes in its leader for 0.6 to 1.2 s. Leaves that arrived in between were acknowledged with the confirmation of nobody (LeaveAcknowledged confirmed_by=0 known_hosts=27 state_age_ms=1343). Class of the fault: "all of those heard" is true of none.

QuorumContact follows how old the confirmed state of the control host is. It acknowledges nothing once a majority was not reached for 1 s, which is before entry hosts stop counting, nor for 3.5 s after a start or an interruption of 1.7 s, in which entry hosts connect. Such a host answers 503 at once, so that the upstream asks another.

Weighed against it: the leader confirms each leave (a round trip between regions more for each, and none without a leader).

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -157,7 +157,8 @@
       m_io, m_frames,
       DiscoveryOptions{
           .m_host = m_settings.m_host,
-          .m_announcement_interval = m_settings.m_announcement_interval});
+          .m_announcement_interval = m_settings.m_announcement_interval,
+          .m_state_age = [this] { return m_runner.StateAge(); }});
   m_discovery->RegisterHandlers(handlers);
   m_discovery->Start();
 }
--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -264,12 +264,20 @@
                      });
 }
 
+void DiscoveryService::UpdateQuorumContact(MonoTime now) {
+  m_quorum_contact = UpdateContact(
+      m_quorum_contact, {.m_state_age = m_options.m_state_age(), .m_now = now});
+}
+
 asio::awaitable<bool> DiscoveryService::WaitUntilMerged(std::uint64_t version,
                                                         MonoTime deadline) {
   while (!m_is_stopped) {
     const MonoTime now = MonoClock::now();
-    if (HaveAllMerged(version, now))
+    UpdateQuorumContact(now);
+    if (HearsEntryHosts(m_quorum_contact, now) && HaveAllMerged(version, now))
       co_return true;
+    if (HearsEntryHostsFrom(m_quorum_contact) > deadline)
+      co_return false;
     if (now >= deadline)
       break;
     // All waiters share the timer: a cancellation or a new expiry wakes each of
@@ -311,6 +319,7 @@
   asio::steady_timer timer(m_io);
   while (!m_is_stopped) {
     const MonoTime now = MonoClock::now();
+    UpdateQuorumContact(now);
     MarkSilentInstances(now);
     if (m_registry.Version() != m_pushed_version)
       PushToAll();
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -11,7 +11,8 @@
 // to entry hosts. The leader detects upstreams that no longer announce
 // themselves. The leave of an upstream is acknowledged once every entry host
 // from which this control host received a delta within kEntryHostTimeout has
-// confirmed the change.
+// confirmed the change, and only by a control host that hears all entry hosts
+// (QuorumContact).
 //
 // The state is in memory: a restarted control host receives it from the entry
 // hosts and the other control hosts. Not thread-safe: use it on the thread of
@@ -33,6 +34,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "controld/quorum_contact.h"
 #include "core/clock.h"
 #include "gen/membership.h"
 #include "membership/registry.h"
@@ -65,6 +67,8 @@
 struct DiscoveryOptions {
   HostId m_host;                                      // this control host
   std::chrono::milliseconds m_announcement_interval;  // of the upstreams
+  // Time since the state of this host was confirmed to be the newest.
+  std::function<std::chrono::milliseconds()> m_state_age;
 };
 
 class DiscoveryService {
@@ -98,7 +102,8 @@
       const InstanceId& instance) const;
 
   // True once every entry host from which this control host received a delta
-  // within kEntryHostTimeout has merged the version; false at the deadline.
+  // within kEntryHostTimeout has merged the version. False at the deadline, and
+  // at once if this control host cannot hear all entry hosts before it.
   boost::asio::awaitable<bool> WaitUntilMerged(std::uint64_t version,
                                                MonoTime deadline);
 
@@ -125,6 +130,7 @@
   void MarkSilentInstances(MonoTime now);
   bool IsLive(const Subscriber& subscriber, MonoTime now) const;
   bool HaveAllMerged(std::uint64_t version, MonoTime now) const;
+  void UpdateQuorumContact(MonoTime now);
   std::vector<HostId> LeavingEntryHosts() const;
   boost::asio::awaitable<void> TickLoop();
 
@@ -139,6 +145,7 @@
       1;  // of the lists of control and entry hosts
   std::uint64_t m_feed_index = 0;
   std::optional<MonoTime> m_leading_since;
+  QuorumContact m_quorum_contact;
   boost::asio::steady_timer m_confirmation_timer;  // cancelled to wake waiters
   std::uint64_t m_pushed_version = 0;
   bool m_is_stopped = false;
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
@@ -356,5 +357,54 @@
   EXPECT_EQ(m_hosts.at(kEntryHost)->Wait(), 0);
 }
 
+// Guards against a leave that is acknowledged by a control host that hears
+// neither a majority nor an entry host: no entry host then knows of it.
+TEST_F(DiscoveryTest, ControlHostThatIsCutOffAcknowledgesNoLeave) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("both unnamed hosts are voters", [&] { return HasPromotions(2); });
+  const auto announce = [](const std::string& instance,
+                           const std::string& state, int sequence) {
+    return Call({.m_address = AddressOf(3), .m_port = kControlPort},
+                "POST /upstreams/" + instance + "/announce", "",
+                R"({"service":"s","address":"127.0.0.1:8080","zone":"z",)"
+                R"("slots":3,"state":")" +
+                    state + R"(","cold_left_s":0,"sequence":)" +
+                    std::to_string(sequence) + ",\"born\":5}")
+        .m_status;
+  };
+  // The host notices the loss of the majority and that of the entry host at
+  // different times, which differ between rounds; leaves arrive before, between
+  // and after them.
+  constexpr int kRounds = 3;
+  constexpr int kLeaves = 20;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string instance = "i-" + std::to_string(round);
+    WaitUntil("a leave is acknowledged", [&] {
+      return announce("early-" + instance, "leaving", 1) == 200;
+    });
+    EXPECT_EQ(announce(instance, "serving", 1), 200);
+    for (auto& [host, process] : m_hosts) {
+      if (host != 3)
+        process->Freeze();
+    }
+    std::array<std::future<int>, kLeaves> leaves;
+    for (int i = 0; i < kLeaves; ++i) {
+      leaves.at(i) = std::async(std::launch::async, [&announce, instance, i] {
+        return announce(instance, "leaving", 2 + i);
+      });
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    for (std::future<int>& leave : leaves)
+      EXPECT_EQ(leave.get(), 503);
+    for (auto& [host, process] : m_hosts)
+      process->Resume();
+    WaitUntil("the leave is acknowledged", [&] {
+      return announce(instance, "leaving", 2 + kLeaves) == 200;
+    });
+  }
+}
+
 }  // namespace
 }  // namespace jujube::process
