Send nothing to an instance that states that it is leaving

Callers reached it for as long as the control hosts had not told their entry host, or for ever if it was cut off: nothing read the statement.

The first response head that states it now ends the use of that incarnation by this entry host: refusals, responses that are retried elsewhere and heads of open streams included, except a 421, which comes from another instance. The statement is an atomic of the counters that all views of the incarnation share, so a late announcement, a new view, or a view without the instance in between does not bring it back, and the next incarnation starts without it. It is checked again right before sending: the instance may have been selected before. Such a request tries another instance, at no cost of the retry budget, since nothing was sent. Other entry hosts are not told: the instance announces its leave itself, and its own responses tell each host that uses it.

UpstreamView.StatedLeaveHoldsForTheIncarnation tests the views.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -50,6 +50,9 @@
   bool m_is_cancelled = false;
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
+  // Not sent: after its selection the instance stated that it wants no
+  // requests.
+  bool m_is_withheld = false;
 };
 
 template <Dialect D>
@@ -92,7 +95,9 @@
   void SetFailure(Failure failure, const Error& error);
   boost::asio::awaitable<bool> OpenConnection(
       const steering::Selection& selection);
-  boost::asio::awaitable<bool> SendRequest(const OutgoingRequest& request);
+  boost::asio::awaitable<bool> SendRequest(
+      const OutgoingRequest& request,
+      const steering::InstanceCounters& counters);
   boost::asio::awaitable<bool> SendBodyChunk(std::string_view data);
   boost::asio::awaitable<bool> StreamRequestBody();
   boost::asio::awaitable<std::optional<ResponseHead>> ReadHead(
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -64,7 +64,7 @@
   connect.SetAttribute("reused", m_result.m_attempt.m_is_reused_connection);
   connect.End();
   SpanScope send = m_span.Child("send");
-  if (!co_await SendRequest(request)) {
+  if (!co_await SendRequest(request, *selection.m_slot.Counters())) {
     send.SetFailed();
     co_return std::move(m_result);
   }
@@ -131,7 +131,8 @@
 
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendRequest(
-    const OutgoingRequest& request) {
+    const OutgoingRequest& request,
+    const steering::InstanceCounters& counters) {
   // kChunkBytes / 16 is an estimate of the size of the request head.
   const bool has_capacity = co_await m_pacer.WaitForCapacity(
       LinkDirection::kToUpstream,
@@ -148,6 +149,14 @@
                MakeError(ErrorCode::kIo, "the caller closed its connection"));
     co_return false;
   }
+  // Another response may have arrived during the connect or the wait above.
+  if (!counters.AcceptsRequests()) {
+    m_result.m_is_withheld = true;
+    SetFailure(Failure::kConnectFailed,
+               MakeError(ErrorCode::kUnavailable,
+                         "the instance stated that it wants no requests"));
+    co_return false;
+  }
   RecordEvent(request::AttemptEvent::kSendStarted);
   const Status sent = co_await m_connection->SendHead(request.m_head);
   if (!sent) {
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -393,7 +393,7 @@
   for (const steering::ServiceUpstreams& service : m_upstreams->m_services)
     view->m_host_cap += steering::CountSlots(service, now).m_usable;
   m_shared.m_view.Publish(std::move(view));
-  m_counters.Prune();
+  m_counters.Prune(now);
 }
 
 // ---- Ticks -----------------------------------------------------------------
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -67,8 +67,8 @@
   if (result.m_is_connect_timeout)
     return steering::Outcome::kUnreachable;
   // The instance was ejected or is gone because of other requests, which have
-  // been counted.
-  if (result.m_is_cancelled)
+  // been counted, or it got no request.
+  if (result.m_is_cancelled || result.m_is_withheld)
     return std::nullopt;
   const request::FailureDecision decision = request::DecideOnFailure(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
@@ -140,7 +140,7 @@
   std::uint64_t m_claim_attempt = 0;  // attempt number of the claim
   OutgoingRequest m_outgoing;
   std::vector<InstanceId> m_tried_instances;
-  std::uint32_t m_attempts = 0;          // excluding connect timeouts
+  std::uint32_t m_attempts = 0;  // without connect timeouts and unsent ones
   std::uint32_t m_connect_timeouts = 0;  // attempts that ended in one
   Verdict m_verdict = Verdict::kNotRun;  // combined over all attempts
   limits::Permit m_region_permit;
@@ -484,7 +484,7 @@
     request.m_slot_permit.Reset();
     if (result.m_is_connect_timeout)
       ++request.m_connect_timeouts;
-    else
+    else if (!result.m_is_withheld)
       ++request.m_attempts;
     request.m_verdict = request::CombineVerdicts(
         request.m_verdict, request::VerdictOf(result.m_attempt));
@@ -618,6 +618,10 @@
       result.m_attempt.m_state != request::AttemptState::kNotSent;
   if (!decision.m_may_retry || is_body_consumed)
     return false;
+  // Nothing was sent, so the next attempt adds no load. If this one was a
+  // retry, it is paid for already.
+  if (result.m_is_withheld)
+    return request::Remaining(request.m_deadline, MonoClock::now()).count() > 0;
   return TryUseRetry(request);
 }
 
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -83,8 +83,7 @@
                  const Observation& observation,
                  const SelectionContext& context) {
   return IsServing(upstream, context.m_now) &&
-         context.m_now >= observation.m_ejected_until &&
-         context.m_now >= observation.m_replaced_until &&
+         IsUsable(observation, context.m_now) &&
          !Contains(context.m_tried,
                    upstream.m_member.m_announcement.m_instance) &&
          !Contains(context.m_closed, upstream.m_region) &&
@@ -199,8 +198,7 @@
   SlotTotals totals;
   for (const Upstream& upstream : service.m_upstreams) {
     const Observation observation = upstream.m_counters->Observe();
-    if (!IsServing(upstream, now) || now < observation.m_ejected_until ||
-        now < observation.m_replaced_until)
+    if (!IsServing(upstream, now) || !IsUsable(observation, now))
       continue;
     totals.m_usable += UsableSlots(upstream.m_grant, now);
     totals.m_in_use += observation.m_in_progress;
--- a/src/steering/candidate_collector.h
+++ b/src/steering/candidate_collector.h
@@ -11,10 +11,11 @@
 namespace jujube::steering {
 
 // Fills `out` with the instances that are serving, have a free slot for this
-// host, and are not draining, expired, ejected, replaced or already tried.
-// Regions that are at their cap or not permitted are excluded, and so are cold
-// instances to which this host may not send a request yet. If the request has
-// an object, full instances are included.
+// host, and are not draining, expired, ejected, replaced or already tried, and
+// have not stated in a response that they are leaving. Regions that are at
+// their cap or not permitted are excluded, and so are cold instances to which
+// this host may not send a request yet. If the request has an object, full
+// instances are included.
 //
 // Slow start: the usable slots and the rank of an instance grow over
 // Service::m_slow_start after its start or the end of an ejection. Progress is
@@ -25,8 +26,8 @@
                        std::vector<Candidate>& out);
 
 // Slots of the service that this host may use and slots that it is using, for
-// admission and metrics. Ejected and replaced instances and those that are
-// not serving are not counted.
+// admission and metrics. Instances that are not serving, ejected, replaced or
+// leaving, as a response stated, are not counted.
 struct SlotTotals {
   std::uint32_t m_usable = 0;
   std::uint32_t m_in_use = 0;
--- a/src/steering/counter_table.cc
+++ b/src/steering/counter_table.cc
@@ -19,11 +19,15 @@
   return budget;
 }
 
-void CounterTable::Prune() {
+void CounterTable::Prune(MonoTime now) {
   // Only the control thread creates references from the table, so a use count
   // of one cannot grow concurrently.
-  std::erase_if(m_instances,
-                [](const auto& item) { return item.second.use_count() == 1; });
+  std::erase_if(m_instances, [now](const auto& item) {
+    const MonoTime leave_stated_at = item.second->LeaveStatedAt();
+    const bool is_leaving = leave_stated_at != MonoTime{} &&
+                            now - leave_stated_at < kLeaveRetention;
+    return item.second.use_count() == 1 && !is_leaving;
+  });
   std::erase_if(m_budgets,
                 [](const auto& item) { return item.second.use_count() == 1; });
 }
--- a/src/steering/counter_table.h
+++ b/src/steering/counter_table.h
@@ -3,12 +3,14 @@
 
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <utility>
 
+#include "core/clock.h"
 #include "gen/types.h"
 #include "membership/instance_key.h"
 #include "steering/instance_counters.h"
@@ -18,6 +20,9 @@
 
 class CounterTable {
  public:
+  // Longer than an instance runs on after it stated that it is leaving.
+  static constexpr std::chrono::minutes kLeaveRetention{10};
+
   // A new incarnation gets new counters.
   std::shared_ptr<InstanceCounters> GetOrCreateCounters(
       const membership::InstanceKey& key,
@@ -25,9 +30,11 @@
 
   std::shared_ptr<RetryBudget> GetOrCreateBudget(const ServiceId& service);
 
-  // Removes counters that neither a view nor a request refers to. Call it after
+  // Removes counters that neither a view nor a request refers to. Those of an
+  // instance that stated that it is leaving are kept for kLeaveRetention, in
+  // case a later view contains the same incarnation again. Call it after
   // Publish, when the previous view has been destroyed.
-  void Prune();
+  void Prune(MonoTime now);
 
   std::size_t Size() const { return m_instances.size(); }
 
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -74,8 +74,11 @@
                                     MonoTime now) {
   if (report.m_in_progress)
     RecordLoad(*report.m_in_progress, now);
-  return report.m_is_leaving &&
-         !m_is_leaving.exchange(true, std::memory_order_relaxed);
+  if (!report.m_is_leaving ||
+      m_is_leaving.exchange(true, std::memory_order_relaxed))
+    return false;
+  m_leave_stated_at.store(now, std::memory_order_relaxed);
+  return true;
 }
 
 void InstanceCounters::RecordLoad(std::uint32_t total_in_progress,
@@ -107,7 +110,8 @@
           m_others_in_progress.load(std::memory_order_relaxed),
       .m_others_reported_at =
           m_others_reported_at.load(std::memory_order_relaxed),
-      .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed)};
+      .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed),
+      .m_is_leaving = m_is_leaving.load(std::memory_order_relaxed)};
   if (const auto latency = m_latency_ns.Value())
     observation.m_latency = std::chrono::nanoseconds(*latency);
   return observation;
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -54,6 +54,19 @@
            now < m_replaced_until.load(std::memory_order_relaxed);
   }
 
+  // False if the instance wants no further request, as it stated itself. To be
+  // asked again right before a request is sent: the statement may arrive after
+  // the instance was selected.
+  bool AcceptsRequests() const {
+    return !m_is_leaving.load(std::memory_order_relaxed);
+  }
+
+  // Time of the first response that stated that the instance is leaving; the
+  // epoch if there was none.
+  MonoTime LeaveStatedAt() const {
+    return m_leave_stated_at.load(std::memory_order_relaxed);
+  }
+
   // Records the time at which a drain of the instance ends. Called for each new
   // view. Control thread only.
   void SetDraining(bool is_draining, MonoTime now);
@@ -81,6 +94,7 @@
   std::atomic<MonoTime> m_drain_ended_at{MonoTime{}};
   std::atomic<bool> m_was_draining = false;
   std::atomic<bool> m_is_leaving = false;
+  std::atomic<MonoTime> m_leave_stated_at{MonoTime{}};
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/src/steering/outlier_ejector.cc
+++ b/src/steering/outlier_ejector.cc
@@ -46,11 +46,11 @@
   std::uint32_t excluded_count = 0;
   std::vector<std::pair<Observation, const Upstream*>> failing;
   for (const Upstream& upstream : service.m_upstreams) {
-    if (!IsServing(upstream, now))
+    const Observation observation = upstream.m_counters->Observe();
+    if (!IsServing(upstream, now) || observation.m_is_leaving)
       continue;
     ++serving_count;
-    const Observation observation = upstream.m_counters->Observe();
-    if (now < observation.m_ejected_until || now < observation.m_replaced_until)
+    if (!IsUsable(observation, now))
       ++excluded_count;
     else if (IsFailing(observation, limits))
       failing.emplace_back(observation, &upstream);
--- a/tests/process/faulty_upstream_test.cc
+++ b/tests/process/faulty_upstream_test.cc
@@ -3,20 +3,15 @@
 
 #include <future>
 #include <string>
-#include <thread>
-#include <utility>
 
 #include <gtest/gtest.h>
 
-#include "process/process_harness.h"
 #include "process/raw_socket.h"
-#include "process/request_announcer.h"
-#include "process/request_fixture.h"
+#include "process/raw_upstream_fixture.h"
 
 namespace jujube::testing {
 namespace {
 
-constexpr char kEndOfHead[] = "\r\n\r\n";
 constexpr char kRefusal[] =
     "HTTP/1.1 503 Service Unavailable\r\nJujube-Started: no\r\n"
     "Content-Length: 0\r\n\r\n";
@@ -33,35 +28,7 @@
   return repeated;
 }
 
-// The one instance of service "log", whose connections the test serves.
-class FaultyUpstream : public ::testing::Test {
- protected:
-  FaultyUpstream()
-      : m_endpoint(process::ReserveEndpoint()),
-        m_listener(RawSocket::Listen(m_endpoint, 16)),
-        m_announcer(m_system, 0, m_system.AnnouncementOf("u0", m_endpoint)) {
-    m_system.WaitUntilServing();
-  }
-
-  // Sends a GET request on the caller's connection. The deadline is long, since
-  // its expiry would end the exchange as well.
-  void SendGet(const std::string& target) const {
-    m_caller.Send("GET /s/log" + target +
-                  " HTTP/1.1\r\nHost: x\r\nJujube-Deadline-Ms: 600000\r\n\r\n");
-  }
-
-  RawSocket AcceptRequest() const {
-    RawSocket connection = m_listener.Accept();
-    EXPECT_TRUE(connection.ReadUntil(kEndOfHead));
-    return connection;
-  }
-
-  RequestSystem m_system;
-  Endpoint m_endpoint;
-  RawSocket m_listener;
-  RequestAnnouncer m_announcer;
-  RawSocket m_caller = RawSocket::Connect(m_system.SettingsOfEntry(0).m_caller);
-};
+class FaultyUpstream : public RawUpstreamTest {};
 
 // Guards against "not-run" for a request that runs: the instance writes the
 // refusal of an earlier request once more on the connection of this one.
--- a/tests/unit/steering_selection_test.cc
+++ b/tests/unit/steering_selection_test.cc
@@ -8,6 +8,7 @@
 
 #include "rcu/cell.h"
 #include "rcu/thread.h"
+#include "steering/candidate_collector.h"
 #include "steering/headroom_latency_policy.h"
 #include "steering/least_connections_policy.h"
 #include "steering/load_estimate.h"
@@ -83,7 +84,7 @@
         Selector<RandomPolicy>(1).Select(view.m_services[0], {.m_now = At(1)});
   }
   ASSERT_TRUE(selection);
-  counters.Prune();
+  counters.Prune(At(1));
   EXPECT_EQ(counters.Size(), 1U);
   EXPECT_EQ(SampleView({SampleMember("a", "luz-a")}, counters)
                 .m_services[0]
@@ -92,7 +93,38 @@
                 .m_in_progress,
             1U);
   selection.reset();
-  counters.Prune();
+  counters.Prune(At(1));
+  EXPECT_EQ(counters.Size(), 0U);
+}
+
+// Guards against requests to an instance that stated in a response that it
+// leaves: a late announcement, a new view or a view without the instance in
+// between must not bring that incarnation back. The next one is another
+// process.
+TEST(UpstreamView, StatedLeaveHoldsForTheIncarnation) {
+  CounterTable counters;
+  {
+    const UpstreamView view =
+        SampleView({SampleMember("a", "luz-a")}, counters);
+    InstanceCounters& a = *view.m_services[0].m_upstreams[0].m_counters;
+    EXPECT_TRUE(a.RecordReport({.m_is_leaving = true}, At(1)));
+    EXPECT_FALSE(a.RecordReport({.m_is_leaving = true}, At(2)));
+    EXPECT_FALSE(a.RecordReport({.m_in_progress = 1}, At(3)));
+    EXPECT_FALSE(a.AcceptsRequests());
+    EXPECT_EQ(Select(view, 1), std::vector<std::string>{"-"});
+    EXPECT_EQ(CountSlots(view.m_services[0], At(1)).m_usable, 0U);
+  }
+  SampleView({}, counters);
+  counters.Prune(At(60000));
+  membership::Member later = SampleMember("a", "luz-a");
+  later.m_announcement.m_sequence = 99;
+  EXPECT_EQ(Select(SampleView({later}, counters), 1),
+            std::vector<std::string>{"-"});
+  membership::Member restarted = SampleMember("a", "luz-a");
+  restarted.m_announcement.m_incarnation = 2;
+  EXPECT_EQ(Select(SampleView({restarted}, counters), 1),
+            std::vector<std::string>{"a"});
+  counters.Prune(At(3600000));
   EXPECT_EQ(counters.Size(), 0U);
 }
 
