Follow ejections in the cap of an entry host

Callers were refused ("priority_too_low") by an entry host whose only instance had become usable again. The cap on the requests of a host was the sum of usable slots at the time of the last view, and the end of an ejection publishes no view. With discovered control hosts a view is published only when an announcement changes something.

Class of the fault: a value derived from the current time, kept until something unrelated changes.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -390,12 +390,18 @@
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
   const MonoTime now = MonoClock::now();
-  for (const steering::ServiceUpstreams& service : m_upstreams->m_services)
-    view->m_host_cap += steering::CountSlots(service, now).m_usable;
+  UpdateHostCap(now);
   m_shared.m_view.Publish(std::move(view));
   m_counters.Prune(now);
 }
 
+void EntryControl::UpdateHostCap(MonoTime now) {
+  std::uint32_t usable_slots = 0;
+  for (const steering::ServiceUpstreams& service : m_upstreams->m_services)
+    usable_slots += steering::CountSlots(service, now).m_usable;
+  m_shared.m_host_cap.store(usable_slots, std::memory_order_relaxed);
+}
+
 // ---- Ticks -----------------------------------------------------------------
 
 void EntryControl::OnAnnouncement(const Announcement& announcement) {
@@ -429,6 +435,7 @@
     m_metrics.OnEjections(service.m_service.m_name,
                           steering::EvaluateOutliers(service, {}, now));
   }
+  UpdateHostCap(now);
   AdvanceDrain(now);
   SwitchToNewerFeed(now);
   UpdateConfigConfirmation(now);
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -72,6 +72,7 @@
   void TrackLimits();
   std::uint32_t LocalRetryBurst() const;
   void PublishView();
+  void UpdateHostCap(MonoTime now);
   void MarkViewOutdated() { m_is_view_outdated = true; }
   bool HasControlHosts() const;
   // True if the control hosts allot this host its shares of the limits.
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -33,7 +33,10 @@
   rcu::Cell<ServingView> m_view;      // published by the control thread
   // Last time at which the configuration was confirmed to be the newest.
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
-  std::atomic<std::uint32_t> m_in_progress = 0;         // requests on this host
+  std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
+  // Usable slots of all services. Not part of the view, because ejections and
+  // pauses of instances end without a new view.
+  std::atomic<std::uint32_t> m_host_cap = 0;
   std::atomic<std::uint64_t> m_next_claim_attempt = 1;  // numbers claims
 
   observe::SpanExporter m_spans;  // thread-safe
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -345,7 +345,7 @@
        .m_slots = steering::CountSlots(*service, request.m_received_at),
        .m_host_in_progress =
            m_shared.m_in_progress.load(std::memory_order_relaxed),
-       .m_host_cap = view.m_host_cap,
+       .m_host_cap = m_shared.m_host_cap.load(std::memory_order_relaxed),
        .m_remaining =
            request::Remaining(request.m_deadline, request.m_received_at)});
   if (answer == steering::AdmissionAnswer::kAdmitted)
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -25,7 +25,6 @@
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
   std::shared_ptr<const steering::RouteTable> m_routes;       // never null
   std::shared_ptr<const limits::LimitTable> m_limits;         // null: no limits
-  std::uint32_t m_host_cap = 0;         // usable slots of all services
   bool m_is_refusing_requests = false;  // planned stop refuses new requests
 };
 
