Honour the pause for which an instance asks

The pause is part of InstanceReport and of the counters of the incarnation, like the statement that it leaves: selection, admission and the check right before sending see it at once in all threads. A later response extends it and does not shorten it. Text that is no decimal number of seconds is ignored, and ten minutes is the longest pause, so that a wrong value does not silence an instance for good. Requests that no other instance can take are refused at once.

InstanceReport.PausedInstanceGetsNoRequestUntilItsPauseEnds (hangs without the change in a request that is sent), UpstreamView. PausedInstanceIsUsedAgainAfterItsPause, RetryAfter.ParsesDecimalSecondsOnly.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -150,7 +150,7 @@
     co_return false;
   }
   // Another response may have arrived during the connect or the wait above.
-  if (!counters.AcceptsRequests()) {
+  if (!counters.AcceptsRequests(MonoClock::now())) {
     m_result.m_is_withheld = true;
     SetFailure(Failure::kConnectFailed,
                MakeError(ErrorCode::kUnavailable,
--- a/src/entry/native_dialect.cc
+++ b/src/entry/native_dialect.cc
@@ -2,6 +2,7 @@
 
 #include "net/http_fields.h"
 #include "request/attempt.h"
+#include "request/retry_after.h"
 
 namespace jujube::entry {
 namespace {
@@ -9,10 +10,13 @@
 constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
 constexpr std::string_view kEarlierAttemptsField = "Jujube-Earlier-Attempts";
 constexpr std::string_view kLeavingField = "Jujube-Leaving";
+constexpr std::string_view kRetryAfterField = "Retry-After";
 constexpr std::string_view kStartedField = "Jujube-Started";
 constexpr std::string_view kTraceparentField = "traceparent";
 constexpr std::string_view kVerdictField = "Jujube-Verdict";
 
+constexpr std::uint16_t kServiceUnavailable = 503;
+
 // Whether the field is not copied to the upstream. The deadline and the
 // traceparent are written anew.
 bool IsRemoved(std::string_view name) {
@@ -67,8 +71,13 @@
 }
 
 InstanceReport NativeDialect::ReportOf(const ResponseHead& head) {
-  return {.m_is_leaving =
-              net::FindHeader(head.m_headers, kLeavingField) == "yes"};
+  InstanceReport report{
+      .m_is_leaving = net::FindHeader(head.m_headers, kLeavingField) == "yes"};
+  if (head.m_status == kServiceUnavailable) {
+    report.m_pause = request::ParseRetryAfter(
+        net::FindHeader(head.m_headers, kRetryAfterField).value_or(""));
+  }
+  return report;
 }
 
 std::vector<Header> NativeDialect::EndToEndHeaders(
--- a/src/gen/instance_report.h
+++ b/src/gen/instance_report.h
@@ -22,6 +22,8 @@
                       // included
   bool m_is_leaving =
       false;  // accepts no new requests; final for its incarnation
+  std::optional<std::chrono::milliseconds>
+      m_pause;  // wants no requests from this host for so long
 
   friend auto operator<=>(const InstanceReport&,
                           const InstanceReport&) = default;
--- a/src/steering/candidate_collector.h
+++ b/src/steering/candidate_collector.h
@@ -12,7 +12,8 @@
 
 // Fills `out` with the instances that are serving, have a free slot for this
 // host, and are not draining, expired, ejected, replaced or already tried, and
-// have not stated in a response that they are leaving. Regions that are at
+// have not stated in a response that they are leaving or want no requests now.
+// Regions that are at
 // their cap or not permitted are excluded, and so are cold instances to which
 // this host may not send a request yet. If the request has an object, full
 // instances are included.
@@ -27,7 +28,7 @@
 
 // Slots of the service that this host may use and slots that it is using, for
 // admission and metrics. Instances that are not serving, ejected, replaced or
-// leaving, as a response stated, are not counted.
+// leaving or paused, as a response stated, are not counted.
 struct SlotTotals {
   std::uint32_t m_usable = 0;
   std::uint32_t m_in_use = 0;
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -1,5 +1,6 @@
 #include "steering/instance_counters.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace jujube::steering {
@@ -17,6 +18,10 @@
 // again afterwards.
 constexpr std::chrono::seconds kReplacedDuration{10};
 
+// A longer pause is taken for an error of the instance, which must not keep
+// requests away for good.
+constexpr std::chrono::milliseconds kMaxPause = std::chrono::minutes(10);
+
 }  // namespace
 
 bool InstanceCounters::TryAcquire(std::uint32_t limit) {
@@ -74,6 +79,8 @@
                                     MonoTime now) {
   if (report.m_in_progress)
     RecordLoad(*report.m_in_progress, now);
+  if (report.m_pause)
+    RecordPause(now + std::clamp(*report.m_pause, {}, kMaxPause));
   if (!report.m_is_leaving ||
       m_is_leaving.exchange(true, std::memory_order_relaxed))
     return false;
@@ -81,6 +88,13 @@
   return true;
 }
 
+void InstanceCounters::RecordPause(MonoTime until) {
+  MonoTime old = m_paused_until.load(std::memory_order_relaxed);
+  while (old < until && !m_paused_until.compare_exchange_weak(
+                            old, until, std::memory_order_relaxed)) {
+  }
+}
+
 void InstanceCounters::RecordLoad(std::uint32_t total_in_progress,
                                   MonoTime now) {
   const std::uint32_t own_in_progress =
@@ -111,7 +125,8 @@
       .m_others_reported_at =
           m_others_reported_at.load(std::memory_order_relaxed),
       .m_ejection_count = m_ejection_count.load(std::memory_order_relaxed),
-      .m_is_leaving = m_is_leaving.load(std::memory_order_relaxed)};
+      .m_is_leaving = m_is_leaving.load(std::memory_order_relaxed),
+      .m_paused_until = m_paused_until.load(std::memory_order_relaxed)};
   if (const auto latency = m_latency_ns.Value())
     observation.m_latency = std::chrono::nanoseconds(*latency);
   return observation;
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -54,11 +54,12 @@
            now < m_replaced_until.load(std::memory_order_relaxed);
   }
 
-  // False if the instance wants no further request, as it stated itself. To be
+  // False if the instance wants no request now, as it stated itself. To be
   // asked again right before a request is sent: the statement may arrive after
   // the instance was selected.
-  bool AcceptsRequests() const {
-    return !m_is_leaving.load(std::memory_order_relaxed);
+  bool AcceptsRequests(MonoTime now) const {
+    return !m_is_leaving.load(std::memory_order_relaxed) &&
+           now >= m_paused_until.load(std::memory_order_relaxed);
   }
 
   // Time of the first response that stated that the instance is leaving; the
@@ -80,6 +81,8 @@
  private:
   // `total_in_progress` includes the requests of this host.
   void RecordLoad(std::uint32_t total_in_progress, MonoTime now);
+  // Extends the pause. A later response does not shorten it.
+  void RecordPause(MonoTime until);
 
   std::atomic<std::uint32_t> m_in_progress = 0;
   std::atomic<std::uint32_t> m_consecutive_failures = 0;
@@ -95,6 +98,7 @@
   std::atomic<bool> m_was_draining = false;
   std::atomic<bool> m_is_leaving = false;
   std::atomic<MonoTime> m_leave_stated_at{MonoTime{}};
+  std::atomic<MonoTime> m_paused_until{MonoTime{}};
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/src/steering/observation.h
+++ b/src/steering/observation.h
@@ -35,14 +35,17 @@
   MonoTime m_others_reported_at;             // time of that report; epoch: none
   std::uint32_t m_ejection_count = 0;        // exponent of the backoff
   bool m_is_leaving = false;                 // as a response stated
+  MonoTime m_paused_until;                   // as a response stated
 
   friend auto operator<=>(const Observation&, const Observation&) = default;
 };
 
 // True if the instance is neither ejected nor replaced and has not stated in a
-// response that it is leaving. What it announces is not considered.
+// response that it is leaving or wants no requests now. What it announces is
+// not considered.
 inline bool IsUsable(const Observation& observation, MonoTime now) {
-  return !observation.m_is_leaving && now >= observation.m_ejected_until &&
+  return !observation.m_is_leaving && now >= observation.m_paused_until &&
+         now >= observation.m_ejected_until &&
          now >= observation.m_replaced_until;
 }
 
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -286,6 +286,12 @@
   const ResponseHead leaving{.m_headers = {{"Server-Leaving", "1"}}};
   EXPECT_TRUE(RequestDialect::ReportOf(leaving).m_is_leaving);
   EXPECT_FALSE(RequestDialect::ReportOf(with_load).m_is_leaving);
+  const ResponseHead paused{.m_status = 503,
+                            .m_headers = {{"Retry-After", "0.7"}}};
+  EXPECT_EQ(RequestDialect::ReportOf(paused).m_pause, milliseconds(700));
+  const ResponseHead limited{.m_status = 429,
+                             .m_headers = {{"Retry-After", "0.7"}}};
+  EXPECT_FALSE(RequestDialect::ReportOf(limited).m_pause);
 }
 
 // Guards against a status that means "not run" for a request that may have run.
--- a/tests/process/instance_report_test.cc
+++ b/tests/process/instance_report_test.cc
@@ -63,6 +63,23 @@
   EXPECT_TRUE(Get(kNotRun));
 }
 
+// Guards against requests to an instance that has refused one and asked for a
+// pause, and against an instance that gets none after its pause.
+TEST_F(InstanceReport, PausedInstanceGetsNoRequestUntilItsPauseEnds) {
+  auto refusal = std::async(std::launch::async, [this] {
+    Serve(
+        "HTTP/1.1 503 Service Unavailable\r\nJujube-Started: no\r\n"
+        "Retry-After: 1.5\r\nContent-Length: 0\r\n\r\n");
+  });
+  EXPECT_TRUE(Get(kNotRun));
+  refusal.get();
+  EXPECT_TRUE(Get(kNotRun));
+  RequestSystem::WaitUntil([this] { return UsableSlots() > 0; });
+  auto resumed = std::async(std::launch::async, [this] { Serve(kResponse); });
+  EXPECT_TRUE(Get("fuel"));
+  resumed.get();
+}
+
 TEST_F(InstanceReport, HeadOfAnOpenStreamCounts) {
   SendGet("/stream");
   const RawSocket stream = AcceptRequest();
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -5,6 +5,7 @@
 #include "request/deadline.h"
 #include "request/host_drain.h"
 #include "request/idempotency_key.h"
+#include "request/retry_after.h"
 
 namespace jujube::request {
 namespace {
@@ -21,6 +22,17 @@
     EXPECT_FALSE(ParseDeadlineMs(text)) << text;
 }
 
+// Guards against a malformed Retry-After that keeps requests from an instance.
+TEST(RetryAfter, ParsesDecimalSecondsOnly) {
+  EXPECT_EQ(ParseRetryAfter("2"), milliseconds(2000));
+  EXPECT_EQ(ParseRetryAfter("0.2501"), milliseconds(251));
+  EXPECT_EQ(ParseRetryAfter("0"), milliseconds(0));
+  for (const char* text :
+       {"", "-1", "+1", "1e3", "nan", "inf", " 1", "1 ", "1.2.3", ".",
+        "99999999999999999999", "Sat, 05 Dec 2026 08:00:00 GMT"})
+    EXPECT_FALSE(ParseRetryAfter(text)) << text;
+}
+
 // Guards against an upstream that continues after the caller stopped waiting.
 TEST(Deadline, UpstreamGetsTheRemainingTimeMinusTheRoundTrip) {
   const Deadline deadline =
--- a/tests/unit/steering_selection_test.cc
+++ b/tests/unit/steering_selection_test.cc
@@ -110,7 +110,7 @@
     EXPECT_TRUE(a.RecordReport({.m_is_leaving = true}, At(1)));
     EXPECT_FALSE(a.RecordReport({.m_is_leaving = true}, At(2)));
     EXPECT_FALSE(a.RecordReport({.m_in_progress = 1}, At(3)));
-    EXPECT_FALSE(a.AcceptsRequests());
+    EXPECT_FALSE(a.AcceptsRequests(At(3)));
     EXPECT_EQ(Select(view, 1), std::vector<std::string>{"-"});
     EXPECT_EQ(CountSlots(view.m_services[0], At(1)).m_usable, 0U);
   }
@@ -128,6 +128,27 @@
   EXPECT_EQ(counters.Size(), 0U);
 }
 
+// Guards against requests during the pause for which an instance asked, against
+// a response that shortens it, and against an instance that gets no requests
+// for good after an absurd pause.
+TEST(UpstreamView, PausedInstanceIsUsedAgainAfterItsPause) {
+  CounterTable counters;
+  const UpstreamView view = SampleView({SampleMember("a", "luz-a")}, counters);
+  InstanceCounters& a = *view.m_services[0].m_upstreams[0].m_counters;
+  a.RecordReport({.m_pause = milliseconds(700)}, At(0));
+  a.RecordReport({.m_pause = milliseconds(100)}, At(1));
+  a.RecordReport({.m_pause = milliseconds(-900)}, At(2));
+  a.RecordReport({.m_in_progress = 1}, At(3));
+  EXPECT_FALSE(a.AcceptsRequests(At(699)));
+  EXPECT_EQ(Select(view, 1, At(699)), std::vector<std::string>{"-"});
+  EXPECT_EQ(CountSlots(view.m_services[0], At(699)).m_usable, 0U);
+  EXPECT_TRUE(a.AcceptsRequests(At(700)));
+  EXPECT_EQ(Select(view, 1, At(700)), std::vector<std::string>{"a"});
+  a.RecordReport({.m_pause = milliseconds::max()}, At(800));
+  EXPECT_FALSE(a.AcceptsRequests(At(800 + 599000)));
+  EXPECT_TRUE(a.AcceptsRequests(At(800 + 601000)));
+}
+
 // Guards against new requests to instances that are leaving, starting, draining
 // or expired.
 TEST(Selector, SkipsLeavingDrainingAndExpiredInstances) {
