--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -357,6 +357,27 @@
   EXPECT_EQ(m_hosts.at(kEntryHost)->Wait(), 0);
 }
 
+// Guards against the leave of an incarnation that is acknowledged by a control
+// host that knows only an earlier one: the entry hosts may use the later one.
+TEST_F(DiscoveryTest, LeaveOfAnUnknownIncarnationIsNotAcknowledged) {
+  StartControlHosts();
+  const Endpoint control{.m_address = AddressOf(0), .m_port = kControlPort};
+  const auto leave = [&](int incarnation) {
+    return Call(control, "POST /upstreams/i-1/leave", "",
+                "{\"born\":" + std::to_string(incarnation) + "}")
+        .m_status;
+  };
+  PutUntilAccepted(3, 0);
+  EXPECT_EQ(
+      Call(control, "POST /upstreams/i-1/announce", "",
+           R"({"service":"s","address":"127.0.0.1:8080","zone":"z","slots":3,)"
+           R"("state":"serving","cold_left_s":0,"sequence":1,"born":5})")
+          .m_status,
+      200);
+  WaitUntil("the leave is acknowledged", [&] { return leave(5) == 200; });
+  EXPECT_EQ(leave(6), 503);
+}
+
 // Guards against a leave that is acknowledged by a control host that hears
 // neither a majority nor an entry host: no entry host then knows of it.
 TEST_F(DiscoveryTest, ControlHostThatIsCutOffAcknowledgesNoLeave) {
