Read and log the rate limit that an instance states

It is now part of InstanceReport, and InstanceStatedLimit (405) is logged when it changes, so that the logs show when each entry host could know of a limit. Nothing is limited yet.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -272,14 +272,24 @@
   // The response comes from another instance, which has taken over the address.
   if (head.m_status == attempt_internal::kMisdirectedRequest)
     return;
-  const bool is_leave_new = selection.m_slot.Counters()->RecordReport(
-      D::ReportOf(head), MonoClock::now());
-  if (is_leave_new) {
+  const InstanceReport report = D::ReportOf(head);
+  const steering::ReportChanges changes =
+      selection.m_slot.Counters()->RecordReport(report, MonoClock::now());
+  if (changes.m_has_begun_to_leave) {
     observe::Log(LogEvent::kInstanceStatedLeave,
                  {{"service", m_route.m_service.m_value},
                   {"instance", selection.m_instance.m_value},
                   {"incarnation", selection.m_incarnation}});
   }
+  if (changes.m_has_other_limit) {
+    const auto limit = report.m_requests_per_1000s;
+    observe::Log(LogEvent::kInstanceStatedLimit,
+                 {{"service", m_route.m_service.m_value},
+                  {"instance", selection.m_instance.m_value},
+                  {"incarnation", selection.m_incarnation},
+                  {"requests_per_1000s",
+                   limit ? std::to_string(*limit) : std::string("none")}});
+  }
 }
 
 template <Dialect D>
--- a/src/entry/native_dialect.cc
+++ b/src/entry/native_dialect.cc
@@ -2,6 +2,7 @@
 
 #include "net/http_fields.h"
 #include "request/attempt.h"
+#include "request/rate_limit.h"
 #include "request/retry_after.h"
 
 namespace jujube::entry {
@@ -10,6 +11,7 @@
 constexpr std::string_view kDeadlineField = "Jujube-Deadline-Ms";
 constexpr std::string_view kEarlierAttemptsField = "Jujube-Earlier-Attempts";
 constexpr std::string_view kLeavingField = "Jujube-Leaving";
+constexpr std::string_view kRateLimitField = "Jujube-Rate-Limit";
 constexpr std::string_view kRetryAfterField = "Retry-After";
 constexpr std::string_view kStartedField = "Jujube-Started";
 constexpr std::string_view kTraceparentField = "traceparent";
@@ -72,7 +74,9 @@
 
 InstanceReport NativeDialect::ReportOf(const ResponseHead& head) {
   InstanceReport report{
-      .m_is_leaving = net::FindHeader(head.m_headers, kLeavingField) == "yes"};
+      .m_is_leaving = net::FindHeader(head.m_headers, kLeavingField) == "yes",
+      .m_requests_per_1000s = request::ParseRateLimit(
+          net::FindHeader(head.m_headers, kRateLimitField).value_or(""))};
   if (head.m_status == kServiceUnavailable) {
     report.m_pause = request::ParseRetryAfter(
         net::FindHeader(head.m_headers, kRetryAfterField).value_or(""));
@@ -86,6 +90,7 @@
   for (const Header& header : headers) {
     if (!net::IsHopByHop(header.m_name) &&
         !net::EqualsIgnoreCase(header.m_name, kLeavingField) &&
+        !net::EqualsIgnoreCase(header.m_name, kRateLimitField) &&
         !net::EqualsIgnoreCase(header.m_name, kVerdictField))
       forwarded.push_back(header);
   }
--- a/src/gen/instance_report.h
+++ b/src/gen/instance_report.h
@@ -24,6 +24,9 @@
       false;  // accepts no new requests; final for its incarnation
   std::optional<std::chrono::milliseconds>
       m_pause;  // wants no requests from this host for so long
+  std::optional<std::uint64_t>
+      m_requests_per_1000s;  // requests that it takes from all entry hosts
+                             // together, in 1000 s; none if it states no limit
 
   friend auto operator<=>(const InstanceReport&,
                           const InstanceReport&) = default;
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -152,6 +152,9 @@
     case LogEvent::kInstanceStatedLeave:
       return {404, LogLevel::kInfo, "InstanceStatedLeave",
               "upstream instance stated in a response that it is leaving"};
+    case LogEvent::kInstanceStatedLimit:
+      return {405, LogLevel::kInfo, "InstanceStatedLimit",
+              "upstream instance stated another limit of its request rate"};
     case LogEvent::kInstanceEjected:
       return {410, LogLevel::kWarning, "InstanceEjected",
               "upstream instance ejected"};
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -69,6 +69,8 @@
   kAnnouncementRefused = 403,  // announcement refused
   kInstanceStatedLeave =
       404,  // upstream instance stated in a response that it is leaving
+  kInstanceStatedLimit =
+      405,  // upstream instance stated another limit of its request rate
   kInstanceEjected = 410,  // upstream instance ejected
   kEjectionBounded = 412,  // failing instance not ejected
   kShiftStep = 430,      // step of a shift of callers between regions proposed
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -75,17 +75,21 @@
   m_last_outcome_at.store(now, std::memory_order_relaxed);
 }
 
-bool InstanceCounters::RecordReport(const InstanceReport& report,
-                                    MonoTime now) {
+ReportChanges InstanceCounters::RecordReport(const InstanceReport& report,
+                                             MonoTime now) {
   if (report.m_in_progress)
     RecordLoad(*report.m_in_progress, now);
   if (report.m_pause)
     RecordPause(now + std::clamp(*report.m_pause, {}, kMaxPause));
-  if (!report.m_is_leaving ||
-      m_is_leaving.exchange(true, std::memory_order_relaxed))
-    return false;
-  m_leave_stated_at.store(now, std::memory_order_relaxed);
-  return true;
+  const bool has_begun_to_leave =
+      report.m_is_leaving &&
+      !m_is_leaving.exchange(true, std::memory_order_relaxed);
+  if (has_begun_to_leave)
+    m_leave_stated_at.store(now, std::memory_order_relaxed);
+  const std::uint64_t limit = report.m_requests_per_1000s.value_or(kNoLimit);
+  return {.m_has_begun_to_leave = has_begun_to_leave,
+          .m_has_other_limit = m_stated_limit.exchange(
+                                   limit, std::memory_order_relaxed) != limit};
 }
 
 void InstanceCounters::RecordPause(MonoTime until) {
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -16,6 +16,7 @@
 #include "gen/instance_report.h"
 #include "steering/atomic_average.h"
 #include "steering/observation.h"
+#include "steering/report_changes.h"
 
 namespace jujube::steering {
 
@@ -40,9 +41,8 @@
   // instance look fast.
   void Record(Outcome outcome, std::chrono::nanoseconds latency, MonoTime now);
 
-  // Records what the instance stated in a response. Returns true if it is the
-  // first one that states that the instance is leaving.
-  bool RecordReport(const InstanceReport& report, MonoTime now);
+  // Records what the instance stated in a response. Returns what is new.
+  ReportChanges RecordReport(const InstanceReport& report, MonoTime now);
 
   // The fields are read separately and may belong to different points in time.
   Observation Observe() const;
@@ -79,6 +79,8 @@
   void DecrementEjectionCount();
 
  private:
+  static constexpr std::uint64_t kNoLimit = UINT64_MAX;
+
   // `total_in_progress` includes the requests of this host.
   void RecordLoad(std::uint32_t total_in_progress, MonoTime now);
   // Extends the pause. A later response does not shorten it.
@@ -99,6 +101,7 @@
   std::atomic<bool> m_is_leaving = false;
   std::atomic<MonoTime> m_leave_stated_at{MonoTime{}};
   std::atomic<MonoTime> m_paused_until{MonoTime{}};
+  std::atomic<std::uint64_t> m_stated_limit = kNoLimit;
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -292,6 +292,9 @@
   const ResponseHead limited{.m_status = 429,
                              .m_headers = {{"Retry-After", "0.7"}}};
   EXPECT_FALSE(RequestDialect::ReportOf(limited).m_pause);
+  EXPECT_FALSE(RequestDialect::ReportOf(limited).m_requests_per_1000s);
+  const ResponseHead in_need{.m_headers = {{"Server-Limit", "6.4"}}};
+  EXPECT_EQ(RequestDialect::ReportOf(in_need).m_requests_per_1000s, 6400U);
 }
 
 // Guards against a status that means "not run" for a request that may have run.
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -5,6 +5,7 @@
 #include "request/deadline.h"
 #include "request/host_drain.h"
 #include "request/idempotency_key.h"
+#include "request/rate_limit.h"
 #include "request/retry_after.h"
 
 namespace jujube::request {
@@ -33,6 +34,16 @@
     EXPECT_FALSE(ParseRetryAfter(text)) << text;
 }
 
+// Guards against a malformed limit that stops or frees the requests to an
+// instance.
+TEST(RateLimit, ParsesDecimalRatesOnly) {
+  EXPECT_EQ(ParseRateLimit("6.4"), 6400U);
+  EXPECT_EQ(ParseRateLimit("0"), 0U);
+  EXPECT_EQ(ParseRateLimit("99999999999999999999"), 1000000000000U);
+  for (const char* text : {"", "-3", "nan", "6,4", "6/s"})
+    EXPECT_FALSE(ParseRateLimit(text)) << text;
+}
+
 // Guards against an upstream that continues after the caller stopped waiting.
 TEST(Deadline, UpstreamGetsTheRemainingTimeMinusTheRoundTrip) {
   const Deadline deadline =
--- a/tests/unit/steering_selection_test.cc
+++ b/tests/unit/steering_selection_test.cc
@@ -107,9 +107,10 @@
     const UpstreamView view =
         SampleView({SampleMember("a", "luz-a")}, counters);
     InstanceCounters& a = *view.m_services[0].m_upstreams[0].m_counters;
-    EXPECT_TRUE(a.RecordReport({.m_is_leaving = true}, At(1)));
-    EXPECT_FALSE(a.RecordReport({.m_is_leaving = true}, At(2)));
-    EXPECT_FALSE(a.RecordReport({.m_in_progress = 1}, At(3)));
+    EXPECT_EQ(a.RecordReport({.m_is_leaving = true}, At(1)),
+              ReportChanges{.m_has_begun_to_leave = true});
+    EXPECT_EQ(a.RecordReport({.m_is_leaving = true}, At(2)), ReportChanges{});
+    EXPECT_EQ(a.RecordReport({.m_in_progress = 1}, At(3)), ReportChanges{});
     EXPECT_FALSE(a.AcceptsRequests(At(3)));
     EXPECT_EQ(Select(view, 1), std::vector<std::string>{"-"});
     EXPECT_EQ(CountSlots(view.m_services[0], At(1)).m_usable, 0U);
