Keep the rate limits that instances state

Each instance has a RateLimiter in the counters of its incarnation: a token bucket in one atomic, whose rate is the part of this entry host in the stated limit. A selection takes a token; without one the instance is no candidate and offers no slot to admission, so requests go to other instances or are refused at once instead of waiting. The limit changes and ends with the next response. A limit of 0 counts as one request in 2 s of all hosts together, since only a response can end it.

The hosts share the limit equally for now. Weighed: to divide by demand needs messages; this bound holds without them.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -402,6 +402,18 @@
   m_shared.m_host_cap.store(usable_slots, std::memory_order_relaxed);
 }
 
+// Divides the rate limits of instances among the entry hosts.
+void EntryControl::UpdateRateShares() {
+  const std::size_t hosts =
+      std::max({std::size_t{1}, m_entry_hosts.size(),
+                m_feed_state->m_deployment.m_entry_hosts.size()});
+  for (const steering::ServiceUpstreams& service : m_upstreams->m_services) {
+    for (const steering::Upstream& upstream : service.m_upstreams) {
+      upstream.m_counters->Limiter().SetShare(1.0 / static_cast<double>(hosts));
+    }
+  }
+}
+
 // ---- Ticks -----------------------------------------------------------------
 
 void EntryControl::OnAnnouncement(const Announcement& announcement) {
@@ -435,6 +447,7 @@
     m_metrics.OnEjections(service.m_service.m_name,
                           steering::EvaluateOutliers(service, {}, now));
   }
+  UpdateRateShares();
   UpdateHostCap(now);
   AdvanceDrain(now);
   SwitchToNewerFeed(now);
--- a/src/steering/candidate_collector.cc
+++ b/src/steering/candidate_collector.cc
@@ -145,6 +145,8 @@
         IsCold(upstream, observation, context.m_now);
     if (is_cold && !MayStartColdRequest(upstream, context.m_now))
       continue;
+    if (!upstream.m_counters->Limiter().MayStart(context.m_now))
+      continue;
     const auto service_time_us =
         ServiceTimeUs(upstream, observation, context.m_now);
     const std::int64_t progress = SlowStartProgress(
@@ -200,7 +202,11 @@
     const Observation observation = upstream.m_counters->Observe();
     if (!IsServing(upstream, now) || !IsUsable(observation, now))
       continue;
-    totals.m_usable += UsableSlots(upstream.m_grant, now);
+    // An instance at its rate limit takes no request now, whatever its slots.
+    if (upstream.m_counters->Limiter().MayStart(now))
+      totals.m_usable += UsableSlots(upstream.m_grant, now);
+    else
+      totals.m_usable += observation.m_in_progress;
     totals.m_in_use += observation.m_in_progress;
   }
   return totals;
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -86,10 +86,9 @@
       !m_is_leaving.exchange(true, std::memory_order_relaxed);
   if (has_begun_to_leave)
     m_leave_stated_at.store(now, std::memory_order_relaxed);
-  const std::uint64_t limit = report.m_requests_per_1000s.value_or(kNoLimit);
   return {.m_has_begun_to_leave = has_begun_to_leave,
-          .m_has_other_limit = m_stated_limit.exchange(
-                                   limit, std::memory_order_relaxed) != limit};
+          .m_has_other_limit =
+              m_rate_limiter.SetLimit(report.m_requests_per_1000s, now)};
 }
 
 void InstanceCounters::RecordPause(MonoTime until) {
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -16,6 +16,7 @@
 #include "gen/instance_report.h"
 #include "steering/atomic_average.h"
 #include "steering/observation.h"
+#include "steering/rate_limiter.h"
 #include "steering/report_changes.h"
 
 namespace jujube::steering {
@@ -62,6 +63,10 @@
            now >= m_paused_until.load(std::memory_order_relaxed);
   }
 
+  // Keeps the rate limit that the instance states.
+  RateLimiter& Limiter() { return m_rate_limiter; }
+  const RateLimiter& Limiter() const { return m_rate_limiter; }
+
   // Time of the first response that stated that the instance is leaving; the
   // epoch if there was none.
   MonoTime LeaveStatedAt() const {
@@ -79,8 +84,6 @@
   void DecrementEjectionCount();
 
  private:
-  static constexpr std::uint64_t kNoLimit = UINT64_MAX;
-
   // `total_in_progress` includes the requests of this host.
   void RecordLoad(std::uint32_t total_in_progress, MonoTime now);
   // Extends the pause. A later response does not shorten it.
@@ -101,7 +104,7 @@
   std::atomic<bool> m_is_leaving = false;
   std::atomic<MonoTime> m_leave_stated_at{MonoTime{}};
   std::atomic<MonoTime> m_paused_until{MonoTime{}};
-  std::atomic<std::uint64_t> m_stated_limit = kNoLimit;
+  RateLimiter m_rate_limiter;
   AtomicAverage m_latency_ns;
   AtomicAverage m_failure_permille;
   AtomicAverage m_shed_permille;
--- a/src/steering/selector.h
+++ b/src/steering/selector.h
@@ -60,9 +60,11 @@
                              MonoTime now) {
     if (!upstream.m_counters->TryAcquire(candidate.m_limit))
       return false;
-    if (!candidate.m_is_cold || !upstream.m_cold_request_interval ||
-        upstream.m_counters->TryStartColdRequest(
-            now, *upstream.m_cold_request_interval))
+    const bool may_start = !candidate.m_is_cold ||
+                           !upstream.m_cold_request_interval ||
+                           upstream.m_counters->TryStartColdRequest(
+                               now, *upstream.m_cold_request_interval);
+    if (may_start && upstream.m_counters->Limiter().TryStart(now))
       return true;
     upstream.m_counters->Release();
     return false;
