Refuse announcements with names that cannot be sent

A service, zone or instance name of more than 130 bytes was merged by the control host that received it, but a binary message cannot carry it: encoding throws. Pushes to entry hosts and relays failed from then on, and the exception ended the loop that pushes changes, so that the hosts that followed this one stopped learning of others.

The names are checked where announcements enter. Frames and the native interface check them already.

DiscoveryTest.OddAnnouncementsDoNotHideTheOthers sends long names, deep nesting, numbers that are too large and ports out of range. Before the change the three announcements with long names ended with a closed connection; all others were refused with 400 already.

--- a/src/wire/archive.h
+++ b/src/wire/archive.h
@@ -16,12 +16,14 @@
 
 #include <cereal/cereal.hpp>
 
+#include "core/name_limit.h"
+
 namespace jujube::wire {
 
 static_assert(std::endian::native == std::endian::little,
               "the archives do not support big-endian targets");
 
-inline constexpr std::size_t kMaxNameBytes = 130;
+using jujube::kMaxNameBytes;
 
 class OutputArchive : public cereal::OutputArchive<OutputArchive> {
  public:
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -378,6 +378,64 @@
   EXPECT_EQ(leave(6), 503);
 }
 
+// Guards against an odd announcement that ends a process or that entry hosts
+// cannot read, so that they stop following the announcements of the others.
+TEST_F(DiscoveryTest, OddAnnouncementsDoNotHideTheOthers) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  const Endpoint control{.m_address = AddressOf(2), .m_port = kControlPort};
+  const auto announce = [&](const std::string& id, const std::string& body) {
+    return Call(control, "POST /upstreams/" + id + "/announce", "", body)
+        .m_status;
+  };
+  const Endpoint endpoint{.m_address = AddressOf(kUpstreamHost),
+                          .m_port = 8080};
+  const FixedResponseUpstream upstream(endpoint);
+  const std::map<std::string, std::string> valid = {
+      {"service", "\"s\""},     {"address", "\"" + ToText(endpoint) + "\""},
+      {"zone", "\"z\""},        {"slots", "3"},
+      {"state", "\"serving\""}, {"cold_left_s", "0"},
+      {"sequence", "1"},        {"born", "5"}};
+  const auto with = [&](const std::string& field, const std::string& value) {
+    std::string text;
+    for (const auto& [name, valid_value] : valid) {
+      text += text.empty() ? "{\"" : ",\"";
+      text += name;
+      text += "\":";
+      text += name == field ? value : valid_value;
+    }
+    return text + "}";
+  };
+  const std::string long_name = "\"" + std::string(131, 'n') + "\"";
+  const std::string nested = std::string(8000, '[') + std::string(8000, ']');
+  for (const auto& [field, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"service", long_name},
+           {"zone", long_name},
+           {"address", "\"127.0.0.1:65536\""},
+           {"address", "\"127.0.0.1:-1\""},
+           {"slots", "1e400"},
+           {"slots", "123456789012345678901234567890"},
+           {"sequence", "1e308"},
+           {"sequence", "18446744073709551615"},
+           {"born", "1e19"},
+           {"slots", nested}})
+    EXPECT_EQ(announce("odd", with(field, value)), 400)
+        << field << value.size();
+  EXPECT_EQ(announce(std::string(131, 'i'), with("", "")), 400);
+  EXPECT_EQ(announce("cold", with("cold_left_s", "1e308")), 200);
+  EXPECT_EQ(announce("i-1", with("", "")), 200);
+  const Endpoint entry{.m_address = AddressOf(kEntryHost),
+                       .m_port = kRequestPort};
+  WaitUntil("a request is served", [&] {
+    return Call(entry, "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n")
+               .m_status == 200;
+  });
+  for (auto& [host, process] : m_hosts)
+    EXPECT_TRUE(process->IsRunning()) << host;
+}
+
 // Guards against a leave that is acknowledged by a control host that hears
 // neither a majority nor an entry host: no entry host then knows of it.
 TEST_F(DiscoveryTest, ControlHostThatIsCutOffAcknowledgesNoLeave) {
