End late requests before the end of a planned stop

The earliest time at which the stop may cut requests is now part of the view. A non-repeatable request whose deadline is later is refused before it is sent, so that the caller tries another host at once; a repeatable one gets a deadline 100 ms before it and thus its final answer. Requests that were admitted before the stop began keep their deadline.

RequestPlannedStop.LateRequestsAreAnsweredBeforeItsEnd fails without the time in the view (the request that must not repeat runs and is cut); HostDrain.EarliestCutHoldsInAllPhases tests the decision.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -41,6 +41,10 @@
 constexpr milliseconds kPresenceInterval{500};
 constexpr milliseconds kControlTimeout{1700};
 
+// Left between the last deadline during a planned stop and the end of the stop,
+// for the response.
+constexpr milliseconds kLastResponseTime{100};
+
 membership::RegistryLimits MakeRegistryLimits(const EntrySettings& settings) {
   membership::RegistryLimits limits;
   // The control hosts report expired instances, so the lease here is
@@ -389,6 +393,10 @@
   view->m_limits = UsesAllotments() ? m_allotments.Table() : nullptr;
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
+  if (m_drain) {
+    view->m_requests_end_by =
+        request::EarliestCut(*m_drain, MakeDrainLimits()) - kLastResponseTime;
+  }
   const MonoTime now = MonoClock::now();
   UpdateHostCap(now);
   m_shared.m_view.Publish(std::move(view));
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -333,6 +333,13 @@
         std::min(request.m_deadline.m_time,
                  request.m_received_at + *request.m_route.m_time_limit);
   }
+  const bool may_outlast_host =
+      view.m_requests_end_by &&
+      request.m_deadline.m_time > *view.m_requests_end_by;
+  // A repeatable request gets its final answer before the host stops, and the
+  // caller may send it again. Another one is left to other hosts.
+  if (may_outlast_host)
+    request.m_deadline.m_time = *view.m_requests_end_by;
   std::optional<Refusal> bad_key = CheckKey(request);
   if (bad_key) {
     m_metrics.CountRefusal(RefusalCause::kBadKey);
@@ -347,7 +354,8 @@
            m_shared.m_in_progress.load(std::memory_order_relaxed),
        .m_host_cap = m_shared.m_host_cap.load(std::memory_order_relaxed),
        .m_remaining =
-           request::Remaining(request.m_deadline, request.m_received_at)});
+           request::Remaining(request.m_deadline, request.m_received_at),
+       .m_may_outlast_host = may_outlast_host && !request.m_is_repeatable});
   if (answer == steering::AdmissionAnswer::kAdmitted)
     return std::nullopt;
   m_metrics.CountRefusal(answer);
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -8,7 +8,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
+#include "core/clock.h"
 #include "gen/deployment.h"
 #include "gen/types.h"
 #include "limits/limit_table.h"
@@ -26,6 +28,8 @@
   std::shared_ptr<const steering::RouteTable> m_routes;       // never null
   std::shared_ptr<const limits::LimitTable> m_limits;         // null: no limits
   bool m_is_refusing_requests = false;  // planned stop refuses new requests
+  // During a planned stop, the time by which admitted requests have to end.
+  std::optional<MonoTime> m_requests_end_by;
 };
 
 }  // namespace jujube::entry
--- a/src/request/host_drain.cc
+++ b/src/request/host_drain.cc
@@ -55,6 +55,14 @@
           .m_phase_start = now};
 }
 
+MonoTime EarliestCut(const HostDrain& drain, const DrainLimits& limits) {
+  const MonoTime last_phase_start =
+      drain.m_phase < DrainPhase::kWaitingForRequests
+          ? drain.m_phase_start + limits.m_lookup_lifetime
+          : drain.m_phase_start;
+  return last_phase_start + limits.m_request_timeout;
+}
+
 HostDrain Advance(const HostDrain& drain,
                   const DrainInputs& inputs,
                   const DrainLimits& limits) {
--- a/src/request/host_drain.h
+++ b/src/request/host_drain.h
@@ -71,4 +71,8 @@
                   const DrainInputs& inputs,
                   const DrainLimits& limits);
 
+// Earliest time at which a planned stop may end although requests are in
+// progress. A request that is admitted during the stop has to end before it.
+MonoTime EarliestCut(const HostDrain& drain, const DrainLimits& limits);
+
 }  // namespace jujube::request
--- a/src/steering/admission.cc
+++ b/src/steering/admission.cc
@@ -23,7 +23,7 @@
 }
 
 AdmissionAnswer DecideAdmission(const AdmissionInputs& inputs) {
-  if (inputs.m_is_host_draining)
+  if (inputs.m_is_host_draining || inputs.m_may_outlast_host)
     return AdmissionAnswer::kHostDraining;
   if (inputs.m_remaining <= std::chrono::nanoseconds(0))
     return AdmissionAnswer::kDeadlinePassed;
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -130,6 +130,7 @@
          .m_peer_key_file = Path("peer.key"),
          .m_platform_key_file = Path("platform.key"),
          .m_operator_key_file = Path("operator.key"),
+         .m_drain_limit = options.m_drain_limit,
          .m_connect_timeout = options.m_connect_timeout});
   }
 }
--- a/tests/process/request_fixture.h
+++ b/tests/process/request_fixture.h
@@ -36,6 +36,7 @@
   std::size_t m_entries = 2;
   std::uint32_t m_region_cap = 60;  // requests in progress
   std::chrono::milliseconds m_connect_timeout{250};
+  std::chrono::milliseconds m_drain_limit{60000};
 };
 
 // The response that a caller received; status 0 if it was missing or truncated.
--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -250,6 +250,29 @@
             << " ms after the last response\n";
 }
 
+// Guards against requests that are taken late in a planned stop and cut at its
+// end: one that must not repeat is refused before it is sent, and any other one
+// gets its answer.
+TEST(RequestPlannedStop, LateRequestsAreAnsweredBeforeItsEnd) {
+  RequestSystem system({.m_drain_limit = milliseconds(500)});
+  system.StartUpstream("u1");
+  system.WaitUntilServing(4);
+  system.Entry(0).Signal(SIGTERM);
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_phase != "serving";
+  });
+  auto slow = std::async(std::launch::async, [&] {
+    return system.Send(0, {.m_target = "/s/log/slow?delay_ms=60000"});
+  });
+  const Answer refused =
+      system.Post(0, "/fuel?delay_ms=60000", system.NewIdempotencyKey());
+  EXPECT_EQ(refused.m_status, 503);
+  EXPECT_EQ(slow.get().m_status, 504);
+  EXPECT_EQ(system.RunCount("/fuel"), 0U);
+  EXPECT_EQ(system.Entry(0).Wait(), 0);
+}
+
 // ---- Frozen hosts ----------------------------------------------------------
 
 // Guards against a resumed host that uses an expired lease, whose slots were
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -116,5 +116,30 @@
   EXPECT_TRUE(drain.m_is_cut_short);
 }
 
+// Guards against a request that is admitted during a planned stop and cut at
+// its end.
+TEST(HostDrain, EarliestCutHoldsInAllPhases) {
+  const DrainLimits limits{.m_lookup_lifetime = milliseconds(3000),
+                           .m_request_timeout = milliseconds(2500),
+                           .m_propagation_timeout = milliseconds(500)};
+  HostDrain drain = StartDrain(AtMs(0));
+  MonoTime earliest_cut = EarliestCut(drain, limits);
+  EXPECT_EQ(earliest_cut, AtMs(5500));
+  for (int ms = 0; drain.m_phase != DrainPhase::kDone; ms += 50) {
+    // What was promised earlier still holds.
+    EXPECT_GE(EarliestCut(drain, limits), earliest_cut) << ms;
+    earliest_cut = EarliestCut(drain, limits);
+    drain = Advance(drain,
+                    {.m_now = AtMs(ms),
+                     .m_is_omitted_everywhere = ms >= 200,
+                     .m_in_progress = 1},
+                    limits);
+    if (drain.m_phase == DrainPhase::kDone) {
+      EXPECT_GE(AtMs(ms), earliest_cut);
+    }
+  }
+  EXPECT_TRUE(drain.m_is_cut_short);
+}
+
 }  // namespace
 }  // namespace jujube::request
