--- a/src/controld/disk_thread.cc
+++ b/src/controld/disk_thread.cc
@@ -151,15 +151,21 @@
 
 void DiskThread::WriteLocalSnapshot(
     std::shared_ptr<control::SnapshotWriter> writer,
-    SnapshotInfo info) {
-  PostTask([this, writer = std::move(writer), info] {
-    const std::string data = EncodeSnapshot(*writer);
-    if (!CheckWritten(m_store.WriteSnapshot(info, data)))
-      return;
-    observe::Log(LogEvent::kSnapshotWritten,
-                 {{"index", info.m_last_index}, {"bytes", data.size()}});
-    PostEvent(consensus::SnapshotTaken{info});
-  });
+    SnapshotInfo info,
+    std::function<void()> on_full) {
+  PostTask(
+      [this, writer = std::move(writer), info, on_full = std::move(on_full)] {
+        const std::string data = EncodeSnapshot(*writer);
+        if (!CheckWritten(m_store.WriteSnapshot(info, data))) {
+          observe::Log(LogEvent::kSnapshotPostponed,
+                       {{"index", info.m_last_index}, {"bytes", data.size()}});
+          boost::asio::post(m_io, on_full);
+          return;
+        }
+        observe::Log(LogEvent::kSnapshotWritten,
+                     {{"index", info.m_last_index}, {"bytes", data.size()}});
+        PostEvent(consensus::SnapshotTaken{info});
+      });
 }
 
 bool DiskThread::WritePeerStarts(const PeerStarts& peers) {
--- a/src/controld/disk_thread.h
+++ b/src/controld/disk_thread.h
@@ -2,8 +2,8 @@
 //
 // Tasks run in the order of the calls, except that pending Persists are written
 // together with the first of them and share one sync. Each asynchronous task
-// posts a completion event to the io_context of the owner, except a local
-// snapshot that finds the disk full.
+// posts a completion event to the io_context of the owner. A local snapshot
+// that finds the disk full reports this to its callback instead.
 
 #pragma once
 
@@ -40,8 +40,10 @@
   void Persist(consensus::Persist persist);
   void WriteSnapshotChunk(consensus::SnapshotWrite write);
   void ReadSnapshotChunk(const consensus::SnapshotRead& read);
+  // `on_full` is called on the thread of `io` if the disk is full.
   void WriteLocalSnapshot(std::shared_ptr<control::SnapshotWriter> writer,
-                          SnapshotInfo info);
+                          SnapshotInfo info,
+                          std::function<void()> on_full);
   // Blocks the calling thread. Returns false if the disk is full.
   bool WritePeerStarts(const PeerStarts& peers);
 
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -56,10 +56,11 @@
                     std::get_if<consensus::SnapshotWritten>(&event))
               m_is_receiving_snapshot &= !written->m_installed;
             if (std::holds_alternative<consensus::SnapshotTaken>(event))
-              m_is_taking_snapshot = false;
+              m_snapshot_schedule.OnWritten();
             Step(std::move(event));
           })),
-      m_tick_timer(io) {}
+      m_tick_timer(io),
+      m_snapshot_schedule(m_settings.m_snapshot_every) {}
 
 ReplicaRunner::~ReplicaRunner() = default;
 
@@ -86,7 +87,7 @@
     JUJUBE_TRY(m_state, DecodeSnapshot(data.value()));
   }
   if (m_recovered_log.m_snapshot)
-    m_snapshot_index = m_recovered_log.m_snapshot->m_last_index;
+    m_snapshot_schedule.OnStored(m_recovered_log.m_snapshot->m_last_index);
   ConnectToPeers();
   if (m_is_founded || m_settings.m_join)
     StartReplica();
@@ -610,13 +611,12 @@
 
 void ReplicaRunner::MaybeTakeSnapshot() {
   const SnapshotInfo info = m_replica->AppliedInfo();
-  if (m_is_taking_snapshot || m_is_receiving_snapshot ||
-      info.m_last_index < m_snapshot_index + m_settings.m_snapshot_every)
+  if (m_is_receiving_snapshot ||
+      !m_snapshot_schedule.TryStart(info.m_last_index, MonoClock::now()))
     return;
-  m_is_taking_snapshot = true;
-  m_snapshot_index = info.m_last_index;
-  m_disk->WriteLocalSnapshot(std::make_shared<control::SnapshotWriter>(m_state),
-                             info);
+  m_disk->WriteLocalSnapshot(
+      std::make_shared<control::SnapshotWriter>(m_state), info,
+      [this] { m_snapshot_schedule.OnDiskFull(MonoClock::now()); });
 }
 
 void ReplicaRunner::InstallSnapshot(const SnapshotInfo& info) {
@@ -631,7 +631,7 @@
     std::_Exit(EXIT_FAILURE);
   }
   m_state = std::move(state).value();
-  m_snapshot_index = info.m_last_index;
+  m_snapshot_schedule.OnStored(info.m_last_index);
   m_is_founded = true;
   observe::Log(LogEvent::kSnapshotInstalled, {{"index", info.m_last_index}});
   m_callbacks.m_on_snapshot_installed();
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -26,6 +26,7 @@
 #include "consensus/start_registry.h"
 #include "control/state_machine.h"
 #include "controld/disk_thread.h"
+#include "controld/snapshot_schedule.h"
 #include "gen/settings.h"
 #include "net/frame_client.h"
 #include "net/frame_dispatch.h"
@@ -189,8 +190,7 @@
   std::map<std::uint64_t, PendingProposal>
       m_appended_proposals;                               // by log index
   std::map<std::uint64_t, ReadCallback> m_pending_reads;  // by token
-  std::uint64_t m_snapshot_index = 0;
-  bool m_is_taking_snapshot = false;
+  SnapshotSchedule m_snapshot_schedule;
   // True only from the last chunk of a received snapshot until its
   // installation.
   bool m_is_receiving_snapshot = false;
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -90,6 +90,9 @@
     case LogEvent::kPeerReopened:
       return {230, LogLevel::kWarning, "PeerReopened",
               "connection to a control host opened again"};
+    case LogEvent::kSnapshotPostponed:
+      return {231, LogLevel::kError, "SnapshotPostponed",
+              "snapshot not written, the disk is full"};
     case LogEvent::kDocumentAccepted:
       return {300, LogLevel::kInfo, "DocumentAccepted", "document accepted"};
     case LogEvent::kDocumentConflict:
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -45,6 +45,7 @@
   kPeerIntroduced = 228,         // control host introduced itself
   kMembershipChangeRefused = 229,  // membership change refused
   kPeerReopened = 230,             // connection to a control host opened again
+  kSnapshotPostponed = 231,        // snapshot not written, the disk is full
   kDocumentAccepted = 300,         // document accepted
   kDocumentConflict = 301,         // document conflicts with an accepted one
   kDocumentRefused = 302,          // document refused
