--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -18,6 +18,7 @@
 #include "steering/affinity_policy.h"
 #include "steering/candidate_collector.h"
 #include "steering/outlier_ejector.h"
+#include "steering/rate_shares.h"
 #include "steering/shift_state.h"
 
 // Sections: construction and peers, configuration, limits and views, ticks,
@@ -410,18 +411,6 @@
   m_shared.m_host_cap.store(usable_slots, std::memory_order_relaxed);
 }
 
-// Divides the rate limits of instances among the entry hosts.
-void EntryControl::UpdateRateShares() {
-  const std::size_t hosts =
-      std::max({std::size_t{1}, m_entry_hosts.size(),
-                m_feed_state->m_deployment.m_entry_hosts.size()});
-  for (const steering::ServiceUpstreams& service : m_upstreams->m_services) {
-    for (const steering::Upstream& upstream : service.m_upstreams) {
-      upstream.m_counters->Limiter().SetShare(1.0 / static_cast<double>(hosts));
-    }
-  }
-}
-
 // ---- Ticks -----------------------------------------------------------------
 
 void EntryControl::OnAnnouncement(const Announcement& announcement) {
@@ -455,7 +444,9 @@
     m_metrics.OnEjections(service.m_service.m_name,
                           steering::EvaluateOutliers(service, {}, now));
   }
-  UpdateRateShares();
+  steering::SetEqualRateShares(
+      *m_upstreams, std::max(m_entry_hosts.size(),
+                             m_feed_state->m_deployment.m_entry_hosts.size()));
   UpdateHostCap(now);
   AdvanceDrain(now);
   SwitchToNewerFeed(now);
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -73,7 +73,6 @@
   std::uint32_t LocalRetryBurst() const;
   void PublishView();
   void UpdateHostCap(MonoTime now);
-  void UpdateRateShares();
   void MarkViewOutdated() { m_is_view_outdated = true; }
   bool HasControlHosts() const;
   // True if the control hosts allot this host its shares of the limits.
--- a/src/steering/candidate_collector.h
+++ b/src/steering/candidate_collector.h
@@ -15,7 +15,8 @@
 // have not stated in a response that they are leaving or want no requests now.
 // Regions that are at their cap or not permitted are excluded, and so are
 // instances that are cold or at their rate limit and to which this host may not
-// send a request yet. If the request has an object, full instances are included.
+// send a request yet. If the request has an object, full instances are
+// included.
 //
 // Slow start: the usable slots and the rank of an instance grow over
 // Service::m_slow_start after its start or the end of an ejection. Progress is
--- a/tests/process/instance_report_test.cc
+++ b/tests/process/instance_report_test.cc
@@ -124,9 +124,9 @@
   SendGet("/second");
   ASSERT_TRUE(instance.ReadUntil(kEndOfHead));
   // The backlog of the instance is full, so the next connect waits.
-  std::vector<RawSocket> fillers;
-  for (int i = 0; i < 4; ++i)
-    fillers.push_back(RawSocket::StartConnect(m_endpoint));
+  std::vector<RawSocket> fillers(4);
+  for (RawSocket& filler : fillers)
+    filler = RawSocket::StartConnect(m_endpoint);
   const RawSocket third_caller = ConnectCaller();
   SendGet(third_caller, "/third");
   RequestSystem::WaitUntil([this] {
