--- a/src/controld/quorum_contact.cc
+++ b/src/controld/quorum_contact.cc
@@ -28,8 +28,8 @@
   const MonoTime now = observation.m_now;
   const MonoTime confirmed_at =
       std::max(contact.m_confirmed_at, now - observation.m_state_age);
-  // The second condition is true after a suspension of the process, when a
-  // message may have arrived before the first update.
+  // A process that resumes after a suspension may receive a message before the
+  // first update; then only the gap between two values shows the interruption.
   const bool is_interrupted =
       now - confirmed_at >= kLongInterruption ||
       confirmed_at - contact.m_confirmed_at >= kLongInterruption ||
--- a/src/controld/snapshot_schedule.h
+++ b/src/controld/snapshot_schedule.h
@@ -30,8 +30,8 @@
 
  private:
   const std::uint64_t m_entries;
-  std::uint64_t m_last_index = 0;     // covered by the last snapshot
-  std::uint64_t m_written_index = 0;  // covered by the one before
+  std::uint64_t m_last_index = 0;     // of the last snapshot, written or not
+  std::uint64_t m_written_index = 0;  // of the last one before it
   bool m_is_writing = false;
   MonoTime m_retry_at{};
 };
--- a/src/steering/candidate_collector.h
+++ b/src/steering/candidate_collector.h
@@ -27,8 +27,8 @@
                        std::vector<Candidate>& out);
 
 // Slots of the service that this host may use and slots that it is using, for
-// admission and metrics. Instances that are not serving, ejected, replaced or
-// leaving or paused, as a response stated, are not counted.
+// admission and metrics. Instances that are not serving, ejected or replaced,
+// or that are leaving or paused as a response stated, are not counted.
 struct SlotTotals {
   std::uint32_t m_usable = 0;
   std::uint32_t m_in_use = 0;
