Test that an instance at its rate limit is no candidate

The tests of the rate limit covered the token bucket and the translation of the header, not the path between them: a response that states a limit, selection and admission. The test fails if the counters do not pass the statement on to the limiter.

--- a/tests/unit/steering_selection_test.cc
+++ b/tests/unit/steering_selection_test.cc
@@ -150,6 +150,22 @@
   EXPECT_TRUE(a.AcceptsRequests(At(800 + 601000)));
 }
 
+// Guards against requests beyond the rate limit that an instance states,
+// against slots that admission counts although no request may be sent, and
+// against a limit that outlasts its statement.
+TEST(UpstreamView, InstanceAtItsRateLimitIsNoCandidate) {
+  CounterTable counters;
+  const UpstreamView view = SampleView({SampleMember("a", "luz-a")}, counters);
+  InstanceCounters& a = *view.m_services[0].m_upstreams[0].m_counters;
+  EXPECT_TRUE(
+      a.RecordReport({.m_requests_per_1000s = 1000}, At(0)).m_has_other_limit);
+  EXPECT_EQ(Select(view, 2, At(1)), (std::vector<std::string>{"a", "-"}));
+  EXPECT_EQ(CountSlots(view.m_services[0], At(1)).m_usable, 0U);
+  EXPECT_EQ(Select(view, 2, At(1001)), (std::vector<std::string>{"a", "-"}));
+  EXPECT_TRUE(a.RecordReport({}, At(1002)).m_has_other_limit);
+  EXPECT_EQ(Select(view, 2, At(1003)), (std::vector<std::string>{"a", "a"}));
+}
+
 // Guards against new requests to instances that are leaving, starting, draining
 // or expired.
 TEST(Selector, SkipsLeavingDrainingAndExpiredInstances) {
