Limit a planned stop as a whole

Cause: the phases of a planned stop were limited one by one. On the platform, 0.5 s without a confirmation of the control hosts, 3 s until look-ups expire and 2.5 s for requests make 6 s and some ticks; SIGKILL comes after 6 s. Ruled out: a shorter limit of the last phase. It would break off requests that are still at work earlier than the platform allows, also when the confirmation is quick. Change: setting stop_limit, the time from the start of the stop to its end in any phase. Test: HostDrain.StopLimitHoldsWhateverThePhasesTake. It uses the new limit and could not be run before the change.

--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -523,7 +523,8 @@
 request::DrainLimits EntryControl::MakeDrainLimits() const {
   request::DrainLimits limits{
       .m_lookup_lifetime = milliseconds(0),
-      .m_request_timeout = m_shared.m_settings.m_drain_limit};
+      .m_request_timeout = m_shared.m_settings.m_drain_limit,
+      .m_stop_limit = m_shared.m_settings.m_stop_limit};
   for (const Service& service : m_feed_state->m_deployment.m_services) {
     limits.m_lookup_lifetime =
         std::max(limits.m_lookup_lifetime, service.m_lookup_lifetime);
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -89,6 +89,9 @@
   std::chrono::milliseconds m_drain_limit{
       60000};  // maximum time that a planned stop waits for requests in
                // progress (from 0, at most 3600000)
+  std::optional<std::chrono::milliseconds>
+      m_stop_limit;  // maximum duration of a planned stop as a whole; without
+                     // it, its phases are limited one by one (from 0)
   std::chrono::milliseconds m_connect_timeout{
       250};  // timeout for connecting to an instance, added to four times the
              // one-way delay of the link; after it another instance is tried
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -109,6 +109,8 @@
               value.m_pool_per_instance);
   reader.Read("drain_limit_ms", Presence::kOptional, {0, 3600000},
               value.m_drain_limit);
+  reader.Read("stop_limit_ms", Presence::kOptional, {0, 3600000},
+              value.m_stop_limit);
   reader.Read("connect_timeout_ms", Presence::kOptional, {1, 600000},
               value.m_connect_timeout);
   reader.Read("retry_budget_permille", Presence::kOptional,
@@ -140,6 +142,7 @@
   PutJson(object, "worker_threads", value.m_worker_threads);
   PutJson(object, "pool_per_instance", value.m_pool_per_instance);
   PutJson(object, "drain_limit_ms", value.m_drain_limit);
+  PutJson(object, "stop_limit_ms", value.m_stop_limit);
   PutJson(object, "connect_timeout_ms", value.m_connect_timeout);
   PutJson(object, "retry_budget_permille", value.m_retry_budget_permille);
   PutJson(object, "retry_burst_of_all_hosts", value.m_retry_burst_of_all_hosts);
--- a/src/request/host_drain.cc
+++ b/src/request/host_drain.cc
@@ -1,30 +1,40 @@
 #include "request/host_drain.h"
 
+#include <algorithm>
+
 namespace jujube::request {
 namespace {
 
+MonoTime LatestEnd(const HostDrain& drain, const DrainLimits& limits) {
+  return limits.m_stop_limit ? drain.m_start + *limits.m_stop_limit
+                             : MonoTime::max();
+}
+
 HostDrain AdvanceOnePhase(const HostDrain& drain,
                           const DrainInputs& inputs,
                           const DrainLimits& limits) {
   const auto elapsed = inputs.m_now - drain.m_phase_start;
+  const bool is_overdue = inputs.m_now >= LatestEnd(drain, limits);
   const HostDrain next{
       .m_phase = static_cast<DrainPhase>(static_cast<int>(drain.m_phase) + 1),
+      .m_start = drain.m_start,
       .m_phase_start = inputs.m_now};
   switch (drain.m_phase) {
     case DrainPhase::kWaitingForLookupRemoval:
-      if (inputs.m_is_omitted_everywhere ||
+      if (inputs.m_is_omitted_everywhere || is_overdue ||
           elapsed >= limits.m_propagation_timeout)
         return next;
       break;
     case DrainPhase::kWaitingForLookupExpiry:
-      if (elapsed >= limits.m_lookup_lifetime)
+      if (is_overdue || elapsed >= limits.m_lookup_lifetime)
         return next;
       break;
     case DrainPhase::kWaitingForRequests:
       if (inputs.m_in_progress == 0)
         return next;
-      if (elapsed >= limits.m_request_timeout)
+      if (is_overdue || elapsed >= limits.m_request_timeout)
         return {.m_phase = next.m_phase,
+                .m_start = next.m_start,
                 .m_phase_start = next.m_phase_start,
                 .m_is_cut_short = true};
       break;
@@ -52,6 +62,7 @@
 
 HostDrain StartDrain(MonoTime now) {
   return {.m_phase = DrainPhase::kWaitingForLookupRemoval,
+          .m_start = now,
           .m_phase_start = now};
 }
 
@@ -60,7 +71,8 @@
       drain.m_phase < DrainPhase::kWaitingForRequests
           ? drain.m_phase_start + limits.m_lookup_lifetime
           : drain.m_phase_start;
-  return last_phase_start + limits.m_request_timeout;
+  return std::min(last_phase_start + limits.m_request_timeout,
+                  LatestEnd(drain, limits));
 }
 
 HostDrain Advance(const HostDrain& drain,
--- a/src/request/host_drain.h
+++ b/src/request/host_drain.h
@@ -20,6 +20,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "core/clock.h"
@@ -43,6 +44,10 @@
   // configuration is in force on all hosts within 18 s.
   std::chrono::milliseconds m_propagation_timeout{18000};
 
+  // Of all phases together: setting stop_limit. Without it, a slow phase delays
+  // the end, and a host that is killed after a fixed time loses its requests.
+  std::optional<std::chrono::milliseconds> m_stop_limit;
+
   friend auto operator<=>(const DrainLimits&, const DrainLimits&) = default;
 };
 
@@ -58,6 +63,7 @@
 
 struct HostDrain {
   DrainPhase m_phase = DrainPhase::kWaitingForLookupRemoval;
+  MonoTime m_start;
   MonoTime m_phase_start;
   bool m_is_cut_short = false;  // timed out with requests in progress
 
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -141,5 +141,23 @@
   EXPECT_TRUE(drain.m_is_cut_short);
 }
 
+// Guards against a planned stop that outlasts the time after which the process
+// is killed, because the phase before the last one took longer: 0.5 s without a
+// confirmation, 3 s and 2.5 s are more than the 5.5 s before SIGKILL at 6 s.
+TEST(HostDrain, StopLimitHoldsWhateverThePhasesTake) {
+  const DrainLimits limits{.m_lookup_lifetime = milliseconds(3000),
+                           .m_request_timeout = milliseconds(2500),
+                           .m_propagation_timeout = milliseconds(500),
+                           .m_stop_limit = milliseconds(5500)};
+  HostDrain drain = StartDrain(AtMs(0));
+  int ms = 0;
+  for (; drain.m_phase != DrainPhase::kDone; ms += 50) {
+    EXPECT_EQ(EarliestCut(drain, limits), AtMs(5500)) << ms;
+    drain = Advance(drain, {.m_now = AtMs(ms), .m_in_progress = 1}, limits);
+  }
+  EXPECT_EQ(ms - 50, 5500);
+  EXPECT_TRUE(drain.m_is_cut_short);
+}
+
 }  // namespace
 }  // namespace jujube::request
