Read download routes, and take valid documents with odd values

Cause: ParseRouteRule knew two kinds of routes. Change: download is a repeatable kind. Values beyond the bounds of the schema (time limits, attempts, connections, limits on requests) are brought into them, and weights may have fractions; before, such a document was refused or could not be read back by other hosts. Tests: with the old parser, DownloadsAreRepeatable and ValidVariantsAreTaken failed, and FractionsOfWeightsAreKept ended the test program.

--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -1,8 +1,11 @@
 #include <string>
 
 #include <gtest/gtest.h>
+#include <boost/json.hpp>
 
 #include "config/check.h"
+#include "core/json_document.h"
+#include "gen/deployment_json.h"
 #include "net/http_fields.h"
 #include "platform/announcement.h"
 #include "platform/document.h"
@@ -97,6 +100,85 @@
   EXPECT_FALSE(IsRefused(document));
 }
 
+// Guards against refusing a whole document because of a route whose kind is
+// sent by newer deployments, which left a system without any configuration.
+TEST(OperatorDocument, DownloadsAreRepeatable) {
+  const Result<Deployment> parsed = ParseOperatorDocument(
+      Replaced(kDocument, "repeatable", "download"), MakeRegionByZone());
+  ASSERT_TRUE(parsed) << parsed.error().m_message;
+  EXPECT_EQ(parsed.value().m_routes[1].m_kind, RequestKind::kRepeatable);
+  EXPECT_TRUE(config::CheckDeployment(parsed.value()).empty());
+}
+
+// Guards against refusing a whole valid document because of one field that is
+// omitted, has a fraction or exceeds the bounds of the schema.
+TEST(OperatorDocument, ValidVariantsAreTaken) {
+  const std::string document = kDocument;
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"timeout_s\":4", "\"timeout_s\":7200"},
+           {"\"target_latency_s\":0.6", "\"target_latency_s\":null"},
+           {"\"target_latency_s\":0.6", "\"target_latency_s\":0"},
+           {"\"target_latency_s\":0.6", "\"target_latency_s\":7200"},
+           {"\"priority\":2", "\"priority\":null"},
+           {"\"priority\":2", "\"priority\":1000"},
+           {"\"max_attempts\":2,\"has_affinity\":false",
+            "\"max_attempts\":1e6,\"has_affinity\":false"},
+           {"\"has_affinity\":false", "\"has_affinity\":null"},
+           {"\"allowed_regions\":[]", "\"allowed_regions\":null"},
+           {"\"weight\":90", "\"weight\":90.5"},
+           {"\"weight\":90", "\"weight\":9e12"},
+           {"\"service\":\"wuno96b\",\"max",
+            "\"service\":\"wuno96b\",\"weighted_services\":null,\"max"},
+           {"\"max_connections\":360,\"cold_per_s\"",
+            "\"max_connections\":null,\"cold_per_s\""},
+           {"\"max_connections\":360,\"cold_per_s\"",
+            "\"max_connections\":1e9,\"cold_per_s\""},
+           {"\"protocol\":\"h1\"", "\"protocol\":null"},
+           {"\"cold_per_s\":2.9},", "\"cold_per_s\":null},"},
+           {"\"cold_per_s\":2.9},", "\"cold_per_s\":1e12},"},
+           {"\"max_header_bytes\":16384", "\"max_header_bytes\":512"},
+           {"\"max_header_bytes\":16384", "\"max_header_bytes\":1e9"},
+           {"\"max_body_bytes\":67108864", "\"max_body_bytes\":1e12"},
+           {"\"header_timeout_s\":3", "\"header_timeout_s\":0"},
+           {"\"header_timeout_s\":3", "\"header_timeout_s\":1e6"},
+           {"\"idle_timeout_s\":15", "\"idle_timeout_s\":1e6"},
+           {"\"limits\":{", "\"later_table\":[{}],\"limits\":{\"later\":1,"}}) {
+    const Result<Deployment> parsed =
+        ParseOperatorDocument(Replaced(document, from, to), MakeRegionByZone());
+    ASSERT_TRUE(parsed) << from << " -> " << to << ": "
+                        << parsed.error().m_message;
+    EXPECT_TRUE(config::CheckDeployment(parsed.value()).empty())
+        << from << " -> " << to;
+    // Hosts exchange the document as JSON, whose reader checks the bounds.
+    const Result<Deployment> read_back = ParseDocument<Deployment>(
+        boost::json::serialize(ToJson(parsed.value())), "document");
+    EXPECT_TRUE(read_back) << from << " -> " << to << ": "
+                           << (read_back ? "" : read_back.error().m_message);
+  }
+}
+
+// Guards against a change of the proportions when weights have fractions.
+TEST(OperatorDocument, FractionsOfWeightsAreKept) {
+  const Deployment document =
+      ParseOperatorDocument(
+          Replaced(Replaced(kDocument, "\"weight\":90", "\"weight\":0.75"),
+                   "\"weight\":10", "\"weight\":0.25"),
+          MakeRegionByZone())
+          .value();
+  const auto& services = document.m_routes[1].m_services;
+  EXPECT_EQ(services[0].m_weight, 3 * services[1].m_weight);
+}
+
+// Guards against an error that does not tell the operator which kind of route
+// this version lacks.
+TEST(OperatorDocument, AnUnknownKindIsNamed) {
+  const Result<Deployment> parsed = ParseOperatorDocument(
+      Replaced(kDocument, "at_most_once", "sometimes"), MakeRegionByZone());
+  ASSERT_FALSE(parsed);
+  EXPECT_NE(parsed.error().m_message.find("sometimes"), std::string::npos);
+}
+
 constexpr const char* kAnnouncement =
     R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"luz-caloocan",
         "version":"v1","slots":3,"state":"serving","cold_left_s":1.5,
@@ -191,6 +273,7 @@
   EXPECT_EQ(entry.m_control[2].m_port, 7620);
   // The planned stop ends before SIGKILL.
   EXPECT_LT(entry.m_drain_limit + milliseconds(3000), node.m_stop_timeout);
+  EXPECT_LT(entry.m_stop_limit.value(), node.m_stop_timeout);
 }
 
 // Guards against accepting a malformed value silently.
