Answer look-ups at the entry hosts

Cause: the control hosts alone answered the callers' look-ups. A caller asks up to three hosts for a second each, so while the control hosts were away it found no entry host for seconds, though all of them served. Change: control hosts send entry hosts the state of each entry host that changed (EntryHostLog), once per subscriber. Each entry host combines the reports (EntryHostDirectory) and publishes the hosts for each zone by RCU (EntryHostLists), so a look-up takes no lock. A stopping host is not named. Also, by reading: an incarnation is a time of day. A host that restarted after its clock was set back was ignored until its old process was forgotten, at entry hosts for good. Its messages are now taken once the old process is silent (KnownSender). Hosts of earlier versions do not read the new messages. Also: RawSocket::Listen sets SO_REUSEADDR. OddAnnouncementsDoNotHideTheOthers hung once when it ran in one process after another test with the same upstream address, since bind failed in TIME_WAIT (seen in the list of sockets).

--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "membership/known_sender.h"
 #include "observe/log.h"
 
 namespace jujube::controld {
@@ -187,7 +188,11 @@
       subscriber.m_incarnation == delta.m_incarnation &&
       !subscriber.m_connection.expired() &&
       subscriber.m_connection.lock() == connection;
-  if (delta.m_incarnation < subscriber.m_incarnation)
+  if (membership::IsFromEarlierProcess(
+          {.m_incarnation = subscriber.m_incarnation,
+           .m_last_received = subscriber.m_last_received,
+           .m_silence = kEntryHostTimeout},
+          delta.m_incarnation, now))
     return;
   const bool was_ready = subscriber.m_presence.m_ready;
   if (!is_same_connection)
@@ -237,6 +242,8 @@
   page.m_delta.m_merged = subscriber.m_received_version;
   page.m_delta.m_omitted = LeavingEntryHosts();
   page.m_delta.m_feed_index = m_feed_index;
+  page.m_delta.m_entry_host_states =
+      m_entry_host_log.ChangedSince(subscriber.m_sent_states_version);
   if (subscriber.m_sent_host_lists_version != m_host_lists_version) {
     page.m_delta.m_control_hosts = m_control_hosts;
     for (const auto& [host, other_subscriber] : m_subscribers)
@@ -246,11 +253,13 @@
     return;
   subscriber.m_sent_version = page.m_end_version;
   subscriber.m_sent_host_lists_version = m_host_lists_version;
+  subscriber.m_sent_states_version = m_entry_host_log.Version();
 }
 
 void DiscoveryService::PushToAll() {
   const MonoTime now = MonoClock::now();
   m_pushed_version = m_registry.Version();
+  m_pushed_states_version = m_entry_host_log.Version();
   for (auto& [host, subscriber] : m_subscribers)
     PushTo(subscriber, now);
 }
@@ -269,6 +278,16 @@
       m_quorum_contact, {.m_state_age = m_options.m_state_age(), .m_now = now});
 }
 
+void DiscoveryService::RecordEntryHostStates(MonoTime now) {
+  for (const auto& [host, subscriber] : m_subscribers) {
+    m_entry_host_log.Record({.m_host = host,
+                             .m_incarnation = subscriber.m_incarnation,
+                             .m_presence = subscriber.m_presence,
+                             .m_leaving = subscriber.m_is_leaving,
+                             .m_live = IsLive(subscriber, now)});
+  }
+}
+
 asio::awaitable<bool> DiscoveryService::WaitUntilMerged(std::uint64_t version,
                                                         MonoTime deadline) {
   while (!m_is_stopped) {
@@ -321,11 +340,17 @@
     const MonoTime now = MonoClock::now();
     UpdateQuorumContact(now);
     MarkSilentInstances(now);
-    if (m_registry.Version() != m_pushed_version)
+    RecordEntryHostStates(now);
+    if (m_registry.Version() != m_pushed_version ||
+        m_entry_host_log.Version() != m_pushed_states_version)
       PushToAll();
     const std::size_t removed =
         std::erase_if(m_subscribers, [&](const auto& element) {
-          return now - element.second.m_last_received > kEntryHostRetention;
+          const bool is_removed =
+              now - element.second.m_last_received > kEntryHostRetention;
+          if (is_removed)
+            m_entry_host_log.Remove(element.first);
+          return is_removed;
         });
     if (removed > 0)
       ++m_host_lists_version;
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -4,6 +4,7 @@
 //   upstream --announcement--> any control host --delta--> all entry hosts
 //                                    |                 \-> other control hosts
 //   entry host --delta with presence--> all control hosts
+//                    all control hosts --states of entry hosts--> entry hosts
 //
 // Every control host keeps a registry of upstreams and pushes each change to
 // the entry hosts that are connected to it. An announcement that only renews a
@@ -14,6 +15,9 @@
 // confirmed the change, and only by a control host that hears all entry hosts
 // (QuorumContact).
 //
+// Entry hosts learn from the states which entry hosts they may name to callers;
+// each state is sent to each of them once.
+//
 // The state is in memory: a restarted control host receives it from the entry
 // hosts and the other control hosts. Not thread-safe: use it on the thread of
 // its io_context.
@@ -37,6 +41,7 @@
 #include "controld/quorum_contact.h"
 #include "core/clock.h"
 #include "gen/membership.h"
+#include "membership/entry_host_log.h"
 #include "membership/registry.h"
 #include "net/frame_dispatch.h"
 #include "net/frame_options.h"
@@ -118,6 +123,7 @@
     std::uint64_t m_merged_version = 0;    // of this registry, as confirmed
     std::uint64_t m_received_version = 0;  // of the subscriber's registry
     std::uint64_t m_sent_host_lists_version = 0;
+    std::uint64_t m_sent_states_version = 0;  // of m_entry_host_log
     EntryPresence m_presence;
     bool m_is_leaving = false;
     MonoTime m_last_received;
@@ -131,6 +137,7 @@
   bool IsLive(const Subscriber& subscriber, MonoTime now) const;
   bool HaveAllMerged(std::uint64_t version, MonoTime now) const;
   void UpdateQuorumContact(MonoTime now);
+  void RecordEntryHostStates(MonoTime now);
   std::vector<HostId> LeavingEntryHosts() const;
   boost::asio::awaitable<void> TickLoop();
 
@@ -141,6 +148,7 @@
   net::PeerExchange m_control_peers;
   std::vector<Endpoint> m_control_hosts;
   std::map<HostId, Subscriber> m_subscribers;
+  membership::EntryHostLog m_entry_host_log;  // states of m_subscribers
   std::uint64_t m_host_lists_version =
       1;  // of the lists of control and entry hosts
   std::uint64_t m_feed_index = 0;
@@ -148,6 +156,7 @@
   QuorumContact m_quorum_contact;
   boost::asio::steady_timer m_confirmation_timer;  // cancelled to wake waiters
   std::uint64_t m_pushed_version = 0;
+  std::uint64_t m_pushed_states_version = 0;  // of m_entry_host_log
   bool m_is_stopped = false;
 };
 
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -32,6 +32,7 @@
 
 constexpr std::size_t kMaxDocumentBytes = 64U << 20U;
 constexpr std::size_t kControlThreadIndex = 0;
+constexpr std::size_t kFirstWorkerIndex = 1;
 
 ServingView EmptyView() {
   return {.m_lookup = std::make_shared<const lookup::Table>(),
@@ -92,6 +93,7 @@
 
   Status StartOnControlThread(std::optional<Deployment> initial_deployment);
   Status StartWorkers();
+  Status StartFurtherListeners();
   void RequestStop();
   void FinishStop();
 
@@ -104,6 +106,7 @@
   net::HttpListener m_platform_listener;
   net::HttpListener m_operator_listener;
   std::vector<std::unique_ptr<Worker>> m_workers;
+  std::vector<std::unique_ptr<net::HttpListener>> m_further_listeners;
   std::atomic<bool> m_is_stopped = false;
 };
 
@@ -140,10 +143,28 @@
   return Success();
 }
 
+Status Daemon::State::StartFurtherListeners() {
+  Status status = Success();
+  m_threads.Run(kFirstWorkerIndex, [&] {
+    for (const FrontEndListener& listener : m_front_end.m_further_listeners) {
+      m_further_listeners.push_back(std::make_unique<net::HttpListener>(
+          m_threads.Context(kFirstWorkerIndex),
+          listener.m_make_handler(m_shared)));
+      const Result<std::uint16_t> port =
+          m_further_listeners.back()->Listen(listener.m_endpoint);
+      if (!port && status)
+        status = port.error();
+    }
+  });
+  return status;
+}
+
 // Runs on the control thread.
 void Daemon::State::RequestStop() {
   for (const auto& worker : m_workers)
     worker->m_listener.AnnounceClose();
+  for (const auto& listener : m_further_listeners)
+    listener->AnnounceClose();
   m_control.StartDrain([this] { FinishStop(); });
 }
 
@@ -176,6 +197,7 @@
   });
   JUJUBE_TRY(*started);
   JUJUBE_TRY(state.StartWorkers());
+  JUJUBE_TRY(state.StartFurtherListeners());
   observe::Log(LogEvent::kStarted,
                {{"host", settings.m_host.m_value},
                 {"incarnation", state.m_shared.m_incarnation}});
@@ -207,6 +229,8 @@
   signal_thread.join();
   for (const auto& worker : state.m_workers)
     worker->m_listener.Close();
+  for (const auto& listener : state.m_further_listeners)
+    listener->Close();
   state.m_threads.Run(kControlThreadIndex, [&] { state.m_control.Stop(); });
   state.m_threads.Stop();
   observe::Log(LogEvent::kStopped, {});
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -42,6 +42,10 @@
 constexpr milliseconds kPresenceInterval{500};
 constexpr milliseconds kControlTimeout{1700};
 
+// Time without reports from control hosts also changes the entry hosts that
+// callers are told, so the lists are computed again at this interval.
+constexpr milliseconds kEntryHostListsInterval{250};
+
 // Left between the last deadline during a planned stop and the end of the stop,
 // for the response.
 constexpr milliseconds kLastResponseTime{100};
@@ -146,6 +150,10 @@
     m_entry_hosts = delta.m_entry_hosts;
     MarkViewOutdated();
   }
+  if (!delta.m_entry_host_states.empty())
+    m_entry_host_lists_due = MonoTime{};
+  m_entry_host_directory.OnReport(delta.m_host, delta.m_incarnation,
+                                  delta.m_entry_host_states, MonoClock::now());
   const std::optional<Endpoint> sender = ParseEndpoint(delta.m_host.m_value);
   if (sender)
     m_feed_index_by_host[*sender] = delta.m_feed_index;
@@ -194,6 +202,8 @@
   const bool is_ready = m_feed_state->m_deployment.m_number > 0 &&
                         m_is_config_confirmed && !m_drain;
   const bool is_changed = m_is_ready.exchange(is_ready) != is_ready;
+  if (is_changed)
+    m_entry_host_lists_due = MonoTime{};
   if (!m_shared.m_settings.m_discovers_control)
     return;
   m_peers.SetPresence(
@@ -411,6 +421,35 @@
   m_shared.m_host_cap.store(usable_slots, std::memory_order_relaxed);
 }
 
+// Callers are told the hosts that the control hosts report, and this host while
+// it is ready: it knows its own state better and may be cut off from them.
+void EntryControl::UpdateEntryHostLists(MonoTime now) {
+  if (!m_shared.m_settings.m_discovers_control || now < m_entry_host_lists_due)
+    return;
+  m_entry_host_lists_due = now + kEntryHostListsInterval;
+  std::vector<lookup::EntryHostCandidate> candidates;
+  for (const EntryHostState& host : m_entry_host_directory.UsableHosts(now)) {
+    if (host.m_host != m_shared.m_settings.m_host) {
+      candidates.push_back({.m_zone = host.m_presence.m_availability_zone,
+                            .m_caller_listener = host.m_presence.m_caller});
+    }
+  }
+  if (IsReady()) {
+    candidates.push_back({.m_zone = m_shared.m_settings.m_availability_zone,
+                          .m_caller_listener = m_shared.m_settings.m_caller});
+  }
+  lookup::RegionByZone region_by_zone;
+  for (const AvailabilityZone& zone :
+       m_feed_state->m_deployment.m_availability_zones)
+    region_by_zone[zone.m_name] = zone.m_region;
+  lookup::EntryHostLists lists(candidates, region_by_zone);
+  if (lists == m_entry_host_lists)
+    return;
+  m_entry_host_lists = lists;
+  m_shared.m_entry_host_lists.Publish(
+      std::make_unique<lookup::EntryHostLists>(std::move(lists)));
+}
+
 // ---- Ticks -----------------------------------------------------------------
 
 void EntryControl::OnAnnouncement(const Announcement& announcement) {
@@ -452,6 +491,7 @@
   SwitchToNewerFeed(now);
   UpdateConfigConfirmation(now);
   UpdatePresence();
+  UpdateEntryHostLists(now);
   if (m_is_view_outdated)
     PublishView();
   if (m_metrics.IsDue(now))
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -28,6 +28,8 @@
 #include "gen/membership.h"
 #include "gen/status.h"
 #include "limits/allotment_holder.h"
+#include "lookup/entry_host_lists.h"
+#include "membership/entry_host_directory.h"
 #include "membership/registry.h"
 #include "net/feed_client.h"
 #include "net/feed_server.h"
@@ -73,6 +75,7 @@
   std::uint32_t LocalRetryBurst() const;
   void PublishView();
   void UpdateHostCap(MonoTime now);
+  void UpdateEntryHostLists(MonoTime now);
   void MarkViewOutdated() { m_is_view_outdated = true; }
   bool HasControlHosts() const;
   // True if the control hosts allot this host its shares of the limits.
@@ -133,6 +136,9 @@
   // m_feed_state; empty if it is not.
   std::optional<MonoTime> m_behind_since;
   std::vector<HostId> m_entry_hosts;  // hosts that may forward requests
+  membership::EntryHostDirectory m_entry_host_directory;
+  lookup::EntryHostLists m_entry_host_lists;  // as published
+  MonoTime m_entry_host_lists_due;  // next time to bring them up to date
   std::atomic<bool> m_is_ready = false;
   bool m_is_view_outdated = true;
   bool m_is_stopped = false;
--- a/src/entry/entry_shared.cc
+++ b/src/entry/entry_shared.cc
@@ -14,6 +14,7 @@
     : m_settings(std::move(settings)),
       m_incarnation(incarnation),
       m_view(std::make_unique<const ServingView>(std::move(initial_view))),
+      m_entry_host_lists(std::make_unique<const lookup::EntryHostLists>()),
       m_spans(m_settings.m_trace, m_settings.m_host.m_value),
       m_lookups(observe::CounterOf(Metric::kLookups)),
       m_not_run(
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -10,6 +10,7 @@
 #include "entry/serving_view.h"
 #include "gen/settings.h"
 #include "gen/types.h"
+#include "lookup/entry_host_lists.h"
 #include "observe/counter.h"
 #include "observe/gauge.h"
 #include "observe/span_exporter.h"
@@ -31,6 +32,9 @@
   const EntrySettings m_settings;
   const std::uint64_t m_incarnation;  // increases with each start
   rcu::Cell<ServingView> m_view;      // published by the control thread
+  // Entry hosts for callers. Apart from the view, because they change without
+  // it and building a view is expensive. Published by the control thread.
+  rcu::Cell<lookup::EntryHostLists> m_entry_host_lists;
   // Last time at which the configuration was confirmed to be the newest.
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
   std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
--- a/src/entry/front_end.h
+++ b/src/entry/front_end.h
@@ -1,10 +1,13 @@
-// FrontEnd: handler and listener options for the requests of callers.
+// FrontEnd: handler and listener options for the requests of callers, and
+// further HTTP listeners of an entry daemon.
 
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <vector>
 
+#include "gen/types.h"
 #include "net/http_listener.h"
 
 namespace jujube::entry {
@@ -12,6 +15,12 @@
 class ClaimClient;
 struct EntryShared;
 
+// Served on the first worker thread, until the end of a planned stop.
+struct FrontEndListener {
+  Endpoint m_endpoint;
+  std::function<net::HttpHandler(EntryShared& shared)> m_make_handler;
+};
+
 struct FrontEnd {
   // Called once per worker thread, on that thread.
   std::function<net::HttpHandler(EntryShared& shared,
@@ -20,6 +29,7 @@
                                  std::uint64_t seed)>
       m_make_handler;
   net::HttpListenerOptions m_listener;
+  std::vector<FrontEndListener> m_further_listeners;
   // Called after SIGHUP, on the signal thread. May be empty.
   std::function<void()> m_on_reload;
 };
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -74,6 +74,18 @@
   friend auto operator<=>(const EntryPresence&, const EntryPresence&) = default;
 };
 
+// State of an entry host as known to a control host.
+struct EntryHostState {
+  HostId m_host;                    // the entry host
+  std::uint64_t m_incarnation = 0;  // incarnation of its process
+  EntryPresence m_presence;         // what it announced last
+  bool m_leaving = false;           // it is in a planned stop
+  bool m_live = false;              // the control host has heard of it lately
+
+  friend auto operator<=>(const EntryHostState&,
+                          const EntryHostState&) = default;
+};
+
 // Announcements that a peer may not have received yet.
 struct RegistryDelta {
   HostId m_host;                    // sender
@@ -94,6 +106,10 @@
   std::vector<HostId>
       m_entry_hosts;  // from a control host: entry hosts that may be sending
                       // requests (at most 2048 elements)
+  std::vector<EntryHostState>
+      m_entry_host_states;  // from a control host: entry hosts whose state has
+                            // changed since its previous message on the
+                            // connection (at most 2048 elements)
   std::vector<HostId> m_omitted;  // entry hosts that the sender omits from
                                   // look-ups (at most 2048 elements)
   std::vector<RegistryEntry>
--- a/src/gen/membership_json.cc
+++ b/src/gen/membership_json.cc
@@ -108,4 +108,32 @@
   return object;
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               EntryHostState& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("host", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_host);
+  reader.Read("incarnation", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_incarnation);
+  reader.Read("presence", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_presence);
+  reader.Read("leaving", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_leaving);
+  reader.Read("live", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_live);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const EntryHostState& value) {
+  boost::json::object object;
+  PutJson(object, "host", value.m_host);
+  PutJson(object, "incarnation", value.m_incarnation);
+  PutJson(object, "presence", value.m_presence);
+  PutJson(object, "leaving", value.m_leaving);
+  PutJson(object, "live", value.m_live);
+  return object;
+}
+
 }  // namespace jujube
--- a/src/gen/membership_json.h
+++ b/src/gen/membership_json.h
@@ -37,4 +37,10 @@
                EntryPresence& value);
 boost::json::value ToJson(const EntryPresence& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               EntryHostState& value);
+boost::json::value ToJson(const EntryHostState& value);
+
 }  // namespace jujube
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -31,12 +31,19 @@
   archive(value.m_availability_zone, value.m_caller, value.m_ready);
 }
 
+template <class Archive>
+void serialize(Archive& archive, EntryHostState& value) {
+  archive(value.m_host, value.m_incarnation, value.m_presence, value.m_leaving,
+          value.m_live);
+}
+
 template <class Archive>
 void serialize(Archive& archive, RegistryDelta& value) {
   archive(value.m_host, value.m_incarnation, value.m_leaving, value.m_version,
           value.m_merged, value.m_presence,
           wire::Bounded(value.m_control_hosts, 64), value.m_feed_index,
           wire::Bounded(value.m_entry_hosts, 2048),
+          wire::Bounded(value.m_entry_host_states, 2048),
           wire::Bounded(value.m_omitted, 2048),
           wire::Bounded(value.m_entries, 4096));
 }
--- a/src/gen/membership_wire.cc
+++ b/src/gen/membership_wire.cc
@@ -31,6 +31,14 @@
   return wire::DecodeValue<EntryPresence>(bytes, "EntryPresence");
 }
 
+std::string Encode(const EntryHostState& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<EntryHostState> DecodeEntryHostState(std::string_view bytes) {
+  return wire::DecodeValue<EntryHostState>(bytes, "EntryHostState");
+}
+
 std::string Encode(const RegistryDelta& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/membership_wire.h
+++ b/src/gen/membership_wire.h
@@ -21,6 +21,9 @@
 std::string Encode(const EntryPresence& value);
 Result<EntryPresence> DecodeEntryPresence(std::string_view bytes);
 
+std::string Encode(const EntryHostState& value);
+Result<EntryHostState> DecodeEntryHostState(std::string_view bytes);
+
 std::string Encode(const RegistryDelta& value);
 Result<RegistryDelta> DecodeRegistryDelta(std::string_view bytes);
 
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/hash.h"
+#include "membership/known_sender.h"
 #include "observe/log.h"
 
 namespace jujube::net {
@@ -146,7 +147,10 @@
       LogLeave(entry.m_announcement, delta.m_host);
   }
   HostState& state = m_host_states[delta.m_host];
-  if (delta.m_incarnation < state.m_incarnation)
+  if (membership::IsFromEarlierProcess({.m_incarnation = state.m_incarnation,
+                                        .m_last_received = state.m_received_at,
+                                        .m_silence = kPeerSilenceTimeout},
+                                       delta.m_incarnation, now))
     return;
   const bool is_changed = state.m_is_leaving != delta.m_leaving;
   state.m_incarnation = delta.m_incarnation;
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -33,6 +33,7 @@
 constexpr std::size_t kControlHosts = 5;
 constexpr std::size_t kEntryHost = kControlHosts;
 constexpr std::size_t kUpstreamHost = kControlHosts + 1;
+constexpr std::size_t kOtherEntryHost = kControlHosts + 2;
 
 // Every host has its own address and the same ports, as on the platform.
 std::string AddressOf(std::size_t host) {
@@ -171,7 +172,7 @@
     ::setenv("JUJUBELIFT_NODE_FILE", path.c_str(), 1);
     m_hosts[host] = std::make_unique<ChildProcess>(
         "jujube-platform",
-        std::vector<std::string>{host == kEntryHost ? "entry" : "control"},
+        std::vector<std::string>{host < kControlHosts ? "control" : "entry"},
         m_folder.File(name + ".log"));
   }
 
@@ -357,6 +358,98 @@
   EXPECT_EQ(m_hosts.at(kEntryHost)->Wait(), 0);
 }
 
+// The answer of an entry host to a look-up.
+Answer LookUpAt(std::size_t host) {
+  return Call({.m_address = AddressOf(host), .m_port = kDirectoryPort},
+              "GET /entry-hosts?name=a.example&region=r&zone=z");
+}
+
+bool IsNamed(const Answer& answer, std::size_t host) {
+  return answer.m_status == 200 &&
+         answer.m_text.find(
+             ToText({.m_address = AddressOf(host), .m_port = kRequestPort})) !=
+             std::string::npos;
+}
+
+// Guards against callers that find no entry host while the control hosts are
+// away, and against an entry host that goes on naming one that died meanwhile.
+TEST_F(DiscoveryTest, EntryHostsAnswerLookUpsWithoutControlHosts) {
+  StartControlHosts();
+  Start(kEntryHost);
+  Start(kOtherEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("the entry host names both", [&] {
+    const Answer answer = LookUpAt(kEntryHost);
+    return IsNamed(answer, kEntryHost) && IsNamed(answer, kOtherEntryHost);
+  });
+  for (std::size_t host = 0; host < kControlHosts; ++host)
+    m_hosts.at(host)->Kill();
+  // Longer than the time after which a control host counts as silent.
+  constexpr int kChecks = 30;
+  for (int i = 0; i < kChecks; ++i) {
+    const Answer answer = LookUpAt(kEntryHost);
+    EXPECT_TRUE(IsNamed(answer, kEntryHost)) << answer.m_text;
+    EXPECT_TRUE(IsNamed(answer, kOtherEntryHost)) << answer.m_text;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  m_hosts.at(kOtherEntryHost)->Kill();
+  for (std::size_t host = 0; host < kControlHosts; ++host)
+    Start(host, false);
+  WaitUntil("the host that died is not named any more", [&] {
+    const Answer answer = LookUpAt(kEntryHost);
+    EXPECT_TRUE(IsNamed(answer, kEntryHost)) << answer.m_text;
+    return !IsNamed(answer, kOtherEntryHost);
+  });
+  Start(kOtherEntryHost);
+  WaitUntil("the restarted host is named again",
+            [&] { return IsNamed(LookUpAt(kEntryHost), kOtherEntryHost); });
+}
+
+// Guards against callers that are sent to an entry host in its planned stop,
+// and against a stopping host that no longer answers look-ups while it serves.
+TEST_F(DiscoveryTest, AStoppingEntryHostIsNotNamedToCallers) {
+  StartControlHosts();
+  Start(kEntryHost);
+  Start(kOtherEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("the entry host names both", [&] {
+    const Answer answer = LookUpAt(kEntryHost);
+    return IsNamed(answer, kEntryHost) && IsNamed(answer, kOtherEntryHost);
+  });
+  m_hosts.at(kOtherEntryHost)->Terminate();
+  WaitUntil("the stopping host is not named",
+            [&] { return !IsNamed(LookUpAt(kEntryHost), kOtherEntryHost); });
+  EXPECT_TRUE(m_hosts.at(kOtherEntryHost)->IsRunning());
+  const Answer answer = LookUpAt(kOtherEntryHost);
+  EXPECT_TRUE(IsNamed(answer, kEntryHost)) << answer.m_text;
+  EXPECT_FALSE(IsNamed(answer, kOtherEntryHost)) << answer.m_text;
+}
+
+// Guards against a malformed look-up that ends a connection without an answer
+// or is answered with a server error.
+TEST_F(DiscoveryTest, OddLookUpsAreAnswered) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("the entry host names itself",
+            [&] { return IsNamed(LookUpAt(kEntryHost), kEntryHost); });
+  const Endpoint directory{.m_address = AddressOf(kEntryHost),
+                           .m_port = kDirectoryPort};
+  for (const std::string target :
+       {"/entry-hosts", "/entry-hosts?", "/entry-hosts?zone=&zone=&region",
+        "/entry-hosts?zone=%00%ff&region=%", "/entry-hosts?name=\x01",
+        "/entry-hosts?zone=other&region=other"}) {
+    const Answer answer = Call(directory, "GET " + target);
+    EXPECT_TRUE(answer.m_status == 200 || answer.m_status == 400)
+        << target << ": " << answer.m_text;
+  }
+  EXPECT_EQ(Call(directory, "GET /entry-hosts?zone=" + std::string(20000, 'z'))
+                .m_status,
+            431);
+  EXPECT_EQ(Call(directory, "GET /document").m_status, 404);
+  EXPECT_EQ(Call(directory, "POST /entry-hosts").m_status, 404);
+}
+
 // Guards against the leave of an incarnation that is acknowledged by a control
 // host that knows only an earlier one: the entry hosts may use the later one.
 TEST_F(DiscoveryTest, LeaveOfAnUnknownIncarnationIsNotAcknowledged) {
--- a/tests/process/raw_socket.cc
+++ b/tests/process/raw_socket.cc
@@ -39,6 +39,9 @@
 RawSocket RawSocket::Listen(const Endpoint& endpoint, int backlog) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = ToAddress(endpoint);
+  // Connections of an earlier test on this address may still be in TIME_WAIT.
+  const int enabled = 1;
+  (void)::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   (void)::bind(fd, reinterpret_cast<const sockaddr*>(&address),
                sizeof(address));
   (void)::listen(fd, backlog);
