Disconnect callers that do not read at the deadline of their request

Cause: a write to a caller was limited to 30 s only, whatever the deadline of the request. A caller that stopped reading a large response kept the instance, its slot and both connections occupied all that time. Ruled out: a limit at the upstream's connection; it has one, but is not read while the write to the caller waits. Change: the forwarder sets the deadline of the request on the exchange; a write gets what is left of it, at least 0.5 s, so that an answer which is sent at the deadline arrives.

--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -207,6 +207,9 @@
     co_await Refuse(exchange, &request, *refusal);
     co_return;
   }
+  // A caller that stops reading must not keep the instance and the connections
+  // occupied after the deadline.
+  exchange.SetResponseDeadline(request.m_deadline.m_time);
   m_shared.m_in_progress.fetch_add(1, std::memory_order_relaxed);
   m_shared.m_in_progress_gauge.Add(1);
   try {
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "core/clock.h"
 #include "core/result.h"
 #include "gen/http.h"
 
@@ -33,6 +35,8 @@
 
 struct HttpExchangeState;
 
+inline constexpr std::chrono::milliseconds kMinWriteTime{500};
+
 class HttpExchange {
  public:
   explicit HttpExchange(HttpExchangeState& state) : m_state(state) {}
@@ -46,6 +50,11 @@
   asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
   bool IsBodyRead() const;  // the complete request body was read
 
+  // Sets the time after which a caller that does not read its response is
+  // disconnected. A write gets at least kMinWriteTime, so that a response which
+  // is sent at the deadline arrives.
+  void SetResponseDeadline(MonoTime deadline);
+
   // Sends a complete response.
   asio::awaitable<Status> Respond(ResponseHead head, std::string_view body);
 
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -1,7 +1,9 @@
 #include "net/http_listener.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,6 +23,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/clock.h"
 #include "net/http_fields.h"
 
 namespace jujube::net {
@@ -61,6 +64,7 @@
   RequestHead m_head;
   std::string m_remote_address;
   std::chrono::milliseconds m_body_timeout{0};
+  std::optional<MonoTime> m_response_deadline;
   const std::atomic<bool>* m_announce_close = nullptr;
   std::shared_ptr<bool> m_watch_active;  // false after Unwatch
   bool m_response_started = false;
@@ -88,6 +92,14 @@
   stream.expires_after(timeout);
 }
 
+std::chrono::milliseconds WriteTimeout(const HttpExchangeState& state) {
+  if (!state.m_response_deadline)
+    return state.m_body_timeout;
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      *state.m_response_deadline - MonoClock::now());
+  return std::min(std::max(left, kMinWriteTime), state.m_body_timeout);
+}
+
 // Responds with 400 or 431 to a request head that could not be parsed.
 asio::awaitable<void> RejectRequestHead(beast::tcp_stream& stream,
                                         beast::error_code error) {
@@ -171,6 +183,10 @@
   }
 }
 
+void HttpExchange::SetResponseDeadline(MonoTime deadline) {
+  m_state.m_response_deadline = deadline;
+}
+
 asio::awaitable<Status> HttpExchange::Begin(ResponseHead head) {
   HttpExchangeState& state = m_state;
   state.m_response_started = true;
@@ -191,7 +207,7 @@
   state.m_response.body().data = nullptr;
   state.m_response.body().more = true;
   state.m_serializer.emplace(state.m_response);
-  SetTimeout(state.m_stream, state.m_body_timeout);
+  SetTimeout(state.m_stream, WriteTimeout(state));
   auto [error, count] = co_await http::async_write_header(
       state.m_stream, *state.m_serializer, kTuple);
   state.m_stream.expires_never();
@@ -209,7 +225,7 @@
   body.data = const_cast<char*>(data.data());
   body.size = data.size();
   body.more = true;
-  SetTimeout(state.m_stream, state.m_body_timeout);
+  SetTimeout(state.m_stream, WriteTimeout(state));
   auto [error, count] =
       co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
   state.m_stream.expires_never();
@@ -224,7 +240,7 @@
   body.data = nullptr;
   body.size = 0;
   body.more = false;
-  SetTimeout(state.m_stream, state.m_body_timeout);
+  SetTimeout(state.m_stream, WriteTimeout(state));
   auto [error, count] =
       co_await http::async_write(state.m_stream, *state.m_serializer, kTuple);
   state.m_stream.expires_never();
--- a/tests/process/raw_upstream_fixture.h
+++ b/tests/process/raw_upstream_fixture.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -18,11 +19,13 @@
 
 class RawUpstreamTest : public ::testing::Test {
  protected:
-  explicit RawUpstreamTest(const SystemOptions& options = {}, int backlog = 16)
+  explicit RawUpstreamTest(const SystemOptions& options = {},
+                           int backlog = 16,
+                           std::uint16_t slots = 12)
       : m_system(options),
         m_endpoint(process::ReserveEndpoint()),
         m_listener(RawSocket::Listen(m_endpoint, backlog)),
-        m_announcer(m_system, 0, m_system.AnnouncementOf("u0", m_endpoint)) {
+        m_announcer(m_system, 0, MakeAnnouncement(slots)) {
     m_system.WaitUntilServing();
   }
 
@@ -44,6 +47,12 @@
     return connection;
   }
 
+  Announcement MakeAnnouncement(std::uint16_t slots) const {
+    Announcement announcement = m_system.AnnouncementOf("u0", m_endpoint);
+    announcement.m_slots = slots;
+    return announcement;
+  }
+
   RequestSystem m_system;
   Endpoint m_endpoint;
   RawSocket m_listener;
--- a/tests/process/request_child.h
+++ b/tests/process/request_child.h
@@ -21,6 +21,7 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t Id() const { return m_id; }
   bool IsRunning();
   void Signal(int number) const;  // no effect after it has exited
   void Kill();                    // SIGKILL, and waits
