--- a/tests/process/large_response_test.cc
+++ b/tests/process/large_response_test.cc
@@ -122,7 +122,10 @@
         "Transfer-Encoding: chunked\r\n\r\n200000\r\n"}) {
     auto instance = std::async(std::launch::async, [&] {
       const RawSocket connection = AcceptRequest();
-      connection.Send("HTTP/1.1 200 OK\r\n" + head + part);
+      std::string bytes = "HTTP/1.1 200 OK\r\n";
+      bytes += head;
+      bytes += part;
+      connection.Send(bytes);
     });
     const RawSocket caller = ConnectCaller();
     SendGet(caller, "/broken");
--- a/tests/unit/lookup_entry_host_lists_test.cc
+++ b/tests/unit/lookup_entry_host_lists_test.cc
@@ -21,6 +21,7 @@
 TEST(EntryHostLists, CallersGetTheHostsThatAreChosenForTheirZone) {
   std::vector<EntryHostCandidate> candidates;
   constexpr int kHosts = 9;
+  candidates.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     candidates.push_back(
         {.m_zone = {i % 3 == 0 ? "a1" : (i % 3 == 1 ? "a2" : "b1")},
--- a/tests/unit/membership_entry_hosts_test.cc
+++ b/tests/unit/membership_entry_hosts_test.cc
@@ -14,8 +14,8 @@
 
 using std::chrono::milliseconds;
 
-const HostId kControl1{"control-1"};
-const HostId kControl2{"control-2"};
+constexpr const char* kControl1 = "control-1";
+constexpr const char* kControl2 = "control-2";
 
 MonoTime TimeAt(int ms) {
   return MonoTime(milliseconds(1000000 + ms));
@@ -50,13 +50,13 @@
 
 // Keeps a control host heard from `from_ms` on until just before `to_ms`.
 void ReportNothing(EntryHostDirectory& directory,
-                   const HostId& reporter,
+                   const char* reporter,
                    int from_ms,
                    int to_ms,
                    std::uint64_t incarnation = 1) {
   constexpr int kInterval = 500;
   for (int ms = from_ms; ms < to_ms; ms += kInterval)
-    directory.OnReport(reporter, incarnation, {}, TimeAt(ms));
+    directory.OnReport({reporter}, incarnation, {}, TimeAt(ms));
 }
 
 // Guards against messages that repeat the states of all entry hosts: with
@@ -107,8 +107,8 @@
 // no control host is reachable, though all entry hosts serve.
 TEST(EntryHostDirectory, HostsStayUsableWithoutControlHosts) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 1, {MakeState("entry-1"), MakeState("entry-2")},
-                     TimeAt(0));
+  directory.OnReport({kControl1}, 1,
+                     {MakeState("entry-1"), MakeState("entry-2")}, TimeAt(0));
   EXPECT_EQ(Names(directory, 100), "entry-1 entry-2 ");
   EXPECT_EQ(Names(directory, 60000), "entry-1 entry-2 ");
 }
@@ -119,13 +119,13 @@
   EntryHostDirectory directory;
   EntryHostState starting = MakeState("entry-3");
   starting.m_presence.m_ready = false;
-  directory.OnReport(kControl1, 1,
+  directory.OnReport({kControl1}, 1,
                      {MakeState("entry-1"), MakeState("entry-2"), starting,
                       MakeState("entry-4")},
                      TimeAt(0));
   EXPECT_EQ(Names(directory, 100), "entry-1 entry-2 entry-4 ");
   directory.OnReport(
-      kControl1, 1,
+      {kControl1}, 1,
       {MakeLeaving(MakeState("entry-1")), MakeSilent(MakeState("entry-2"))},
       TimeAt(200));
   EXPECT_EQ(Names(directory, 200), "entry-4 ");
@@ -135,8 +135,8 @@
 // out of the answers although another control host hears them.
 TEST(EntryHostDirectory, OneControlHostThatHearsAHostIsEnough) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 1, {MakeState("entry-1")}, TimeAt(0));
-  directory.OnReport(kControl2, 1, {MakeSilent(MakeState("entry-1"))},
+  directory.OnReport({kControl1}, 1, {MakeState("entry-1")}, TimeAt(0));
+  directory.OnReport({kControl2}, 1, {MakeSilent(MakeState("entry-1"))},
                      TimeAt(100));
   EXPECT_EQ(Names(directory, 200), "entry-1 ");
   // The control host that heard it is silent itself.
@@ -148,13 +148,13 @@
 // back into the answers, or takes a restarted one out.
 TEST(EntryHostDirectory, TheNewestIncarnationCounts) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 1, {MakeState("entry-1", 2)}, TimeAt(0));
-  directory.OnReport(kControl2, 1, {MakeLeaving(MakeState("entry-1", 1))},
+  directory.OnReport({kControl1}, 1, {MakeState("entry-1", 2)}, TimeAt(0));
+  directory.OnReport({kControl2}, 1, {MakeLeaving(MakeState("entry-1", 1))},
                      TimeAt(100));
   EXPECT_EQ(Names(directory, 200), "entry-1 ");
-  directory.OnReport(kControl1, 1, {MakeLeaving(MakeState("entry-1", 2))},
+  directory.OnReport({kControl1}, 1, {MakeLeaving(MakeState("entry-1", 2))},
                      TimeAt(300));
-  directory.OnReport(kControl2, 1, {MakeState("entry-1", 2)}, TimeAt(400));
+  directory.OnReport({kControl2}, 1, {MakeState("entry-1", 2)}, TimeAt(400));
   EXPECT_EQ(Names(directory, 500), "");
 }
 
@@ -162,12 +162,12 @@
 // the control hosts that came back have never heard of it.
 TEST(EntryHostDirectory, HostsThatNoRestartedControlHostReportsAreDropped) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 1, {MakeState("entry-1"), MakeState("entry-2")},
-                     TimeAt(0));
-  directory.OnReport(kControl1, 2, {}, TimeAt(6000));
+  directory.OnReport({kControl1}, 1,
+                     {MakeState("entry-1"), MakeState("entry-2")}, TimeAt(0));
+  directory.OnReport({kControl1}, 2, {}, TimeAt(6000));
   // Entry hosts need a moment to reconnect.
   EXPECT_EQ(Names(directory, 6100), "entry-1 entry-2 ");
-  directory.OnReport(kControl1, 2, {MakeState("entry-1")}, TimeAt(6500));
+  directory.OnReport({kControl1}, 2, {MakeState("entry-1")}, TimeAt(6500));
   ReportNothing(directory, kControl1, 7000, 9000, 2);
   EXPECT_EQ(Names(directory, 9000), "entry-1 ");
 }
@@ -176,11 +176,11 @@
 // meanwhile as if it had heard the control hosts all the while.
 TEST(EntryHostDirectory, ReportsFromBeforeAPauseMustBeConfirmed) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 1, {MakeState("entry-1"), MakeState("entry-2")},
-                     TimeAt(0));
+  directory.OnReport({kControl1}, 1,
+                     {MakeState("entry-1"), MakeState("entry-2")}, TimeAt(0));
   ReportNothing(directory, kControl1, 500, 3000);
   // The pause; then the control host, which restarted meanwhile, is heard.
-  directory.OnReport(kControl1, 2, {MakeState("entry-2")}, TimeAt(9000));
+  directory.OnReport({kControl1}, 2, {MakeState("entry-2")}, TimeAt(9000));
   EXPECT_EQ(Names(directory, 9000), "entry-1 entry-2 ");
   ReportNothing(directory, kControl1, 9500, 11600, 2);
   EXPECT_EQ(Names(directory, 11600), "entry-2 ");
@@ -190,17 +190,17 @@
 // back, which gives its new process a lower incarnation.
 TEST(EntryHostDirectory, ARestartedHostMayHaveALowerIncarnation) {
   EntryHostDirectory directory;
-  directory.OnReport(kControl1, 9, {MakeState("entry-1", 9)}, TimeAt(0));
-  directory.OnReport(kControl2, 9, {MakeState("entry-1", 9)}, TimeAt(0));
-  directory.OnReport(kControl1, 9, {MakeState("entry-1", 5)}, TimeAt(2000));
-  directory.OnReport(kControl2, 9, {MakeSilent(MakeState("entry-1", 9))},
+  directory.OnReport({kControl1}, 9, {MakeState("entry-1", 9)}, TimeAt(0));
+  directory.OnReport({kControl2}, 9, {MakeState("entry-1", 9)}, TimeAt(0));
+  directory.OnReport({kControl1}, 9, {MakeState("entry-1", 5)}, TimeAt(2000));
+  directory.OnReport({kControl2}, 9, {MakeSilent(MakeState("entry-1", 9))},
                      TimeAt(2000));
   EXPECT_EQ(Names(directory, 2000), "entry-1 ");
   // The same for a control host.
-  directory.OnReport(kControl1, 4, {MakeSilent(MakeState("entry-1", 5))},
+  directory.OnReport({kControl1}, 4, {MakeSilent(MakeState("entry-1", 5))},
                      TimeAt(2100));
   EXPECT_EQ(Names(directory, 2200), "entry-1 ");
-  directory.OnReport(kControl1, 4, {MakeSilent(MakeState("entry-1", 5))},
+  directory.OnReport({kControl1}, 4, {MakeSilent(MakeState("entry-1", 5))},
                      TimeAt(4000));
   EXPECT_EQ(Names(directory, 4000), "");
 }
