--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -308,6 +309,7 @@
 def run_case(case_folder, play):
     """Runs play(deployment), which returns what broke the rule (empty if it held)."""
     deployment = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that close() runs
     try:
         deployment = Deployment(case_folder)
         broken = asyncio.run(asyncio.wait_for(play(deployment), 110))
