Let control hosts find each other through any host they know

Cause: a new control host introduced itself to the seeds of its settings only, a host that it reached did not pass it on, and the leader adds only hosts that introduced themselves to it. SIGHUP with other seeds was logged and had no effect. After a restart a host knew only the seeds again, so a successor whose seeds were gone stayed alone with an empty log.

Ruled out: the voters' own rules, which never saw the missing hosts.

Fix: each introduction is followed by a PeerReport with the members and the hosts that the sender heard within a second; the receiver connects to those that it does not know, which introduces it. Only hosts that the sender hears itself are reported, so a host that is gone is not passed around. A control host also looks for the hosts in its list of start counts, which it keeps on its disk, and for the seeds that SIGHUP brings. A host that is neither a member nor a seed is forgotten after 20 s of silence. The last contact with a member is its last message instead of the last state of a connection.

--- /dev/null
+++ b/src/consensus/member_presence.cc
@@ -0,0 +1,43 @@
+#include "consensus/member_presence.h"
+
+#include <algorithm>
+
+#include "consensus/peer_contacts.h"
+
+namespace jujube::consensus {
+
+void MemberPresence::OnHeard(const VoterId& replica, MonoTime now) {
+  m_contacts[replica].m_heard_at = now;
+}
+
+void MemberPresence::OnUpdate(MonoTime now) {
+  if (now - m_updated_at > kMaxUpdateGap)
+    m_listening_since = now;
+  m_updated_at = now;
+}
+
+MonoClock::duration MemberPresence::SilenceOf(const VoterId& replica,
+                                              MonoTime now) const {
+  const auto found = m_contacts.find(replica);
+  const MonoTime heard_at =
+      found == m_contacts.end() ? MonoTime{} : found->second.m_heard_at;
+  return now - std::max(heard_at, m_listening_since);
+}
+
+Presence MemberPresence::Of(const VoterId& replica, MonoTime now) const {
+  const auto found = m_contacts.find(replica);
+  if (SilenceOf(replica, now) > kPeerSilenceTimeout)
+    return Presence::kSilent;
+  const bool is_heard =
+      found != m_contacts.end() &&
+      now - found->second.m_heard_at <= 2 * kIntroductionInterval;
+  return is_heard ? Presence::kHeard : Presence::kUncertain;
+}
+
+void MemberPresence::Forget(const HostId& host) {
+  std::erase_if(m_contacts, [&](const auto& element) {
+    return element.first.m_host == host;
+  });
+}
+
+}  // namespace jujube::consensus
--- /dev/null
+++ b/src/consensus/member_presence.h
@@ -0,0 +1,56 @@
+// MemberPresence: which control hosts this host hears.
+//
+//   presence.OnHeard(replica, now);       // any message of the replica
+//   presence.OnUpdate(now);               // at least every kMaxUpdateGap
+//   if (presence.Of(replica, now) == Presence::kSilent) ...
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+
+#include "core/clock.h"
+#include "gen/consensus.h"
+
+namespace jujube::consensus {
+
+enum class Presence : std::uint8_t {
+  kHeard,      // heard within two introduction intervals
+  kUncertain,  // neither
+  kSilent,     // not heard for longer than kPeerSilenceTimeout
+};
+
+class MemberPresence {
+ public:
+  // A longer time between two updates means that this process was suspended.
+  static constexpr std::chrono::milliseconds kMaxUpdateGap{1000};
+
+  explicit MemberPresence(MonoTime now)
+      : m_listening_since(now), m_updated_at(now) {}
+
+  void OnHeard(const VoterId& replica, MonoTime now);
+  void OnUpdate(MonoTime now);
+
+  Presence Of(const VoterId& replica, MonoTime now) const;
+  // Time without a message of the replica, counted at most since this process
+  // started or was resumed: before, it could hear nobody.
+  MonoClock::duration SilenceOf(const VoterId& replica, MonoTime now) const;
+
+  // Forgets a replica, for example when its host is gone.
+  void Forget(const HostId& host);
+
+ private:
+  struct Contact {
+    MonoTime m_heard_at{};
+
+    friend auto operator<=>(const Contact&, const Contact&) = default;
+  };
+
+  MonoTime m_listening_since;
+  MonoTime m_updated_at;
+  std::map<VoterId, Contact> m_contacts;
+};
+
+}  // namespace jujube::consensus
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -161,8 +161,11 @@
     const auto [error, number] = co_await signals.async_wait(kTuple);
     if (error || number != SIGHUP)
       break;
-    if (m_front_end.m_on_reload)
-      m_front_end.m_on_reload();
+    if (!m_front_end.m_reload_seeds)
+      continue;
+    const std::vector<ControlPeer> seeds = m_front_end.m_reload_seeds();
+    if (!seeds.empty())
+      m_service->Runner().SetSeeds(seeds);
   }
   co_await TransferLeadership();
   for (const auto& listener : m_listeners)
--- a/src/controld/front_end.h
+++ b/src/controld/front_end.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <vector>
 
+#include "gen/settings.h"
 #include "gen/types.h"
 #include "net/http_listener.h"
 
@@ -22,7 +23,9 @@
   std::vector<FrontEndListener> m_listeners;
   // If true, the daemon does not serve OperatorApi.
   bool m_replaces_operator_api = false;
-  std::function<void()> m_on_reload;  // called on SIGHUP; may be empty
+  // Called on SIGHUP; may be empty. Returns the seeds named by the settings
+  // now, or nothing if they are unreadable.
+  std::function<std::vector<ControlPeer>()> m_reload_seeds;
 };
 
 }  // namespace jujube::controld
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -22,6 +22,10 @@
 // Longer than a restart or a transient network partition, so that a host that
 // returns in time remains a member and need not receive the log again.
 constexpr milliseconds kMemberLostTimeout{8000};
+// A host that is neither a member nor a seed is forgotten after this silence.
+constexpr milliseconds kHostLostTimeout{20000};
+// Limit of PeerReport in the schema.
+constexpr std::size_t kMaxReportedHosts = 64;
 
 std::uint64_t RandomSeed() {
   std::random_device device;
@@ -68,8 +72,10 @@
   if (m_recovered_log.m_snapshot &&
       m_recovered_log.m_snapshot->m_last_index == 0)
     m_founders = m_recovered_log.m_snapshot->m_voters;
-  for (const ControlPeer& peer : m_settings.m_peers)
+  for (const ControlPeer& peer : m_settings.m_peers) {
     m_peers[peer.m_host] = peer;
+    m_seeds.insert(peer.m_host);
+  }
   m_introductions[m_self.m_host] = MakeIntroduction();
   if (m_recovered_log.m_torn_bytes > 0) {
     observe::Log(LogEvent::kTornTailTruncated,
@@ -117,17 +123,67 @@
           .m_founders = m_founders};
 }
 
+PeerReport ReplicaRunner::MakePeerReport() const {
+  const MonoTime now = MonoClock::now();
+  const Voters members = ConsensusStatus().m_voters;
+  std::set<HostId> hosts;
+  for (const auto* list : {&members.m_voters, &members.m_learners}) {
+    for (const VoterId& member : *list)
+      hosts.insert(member.m_host);
+  }
+  for (const auto& [host, introduction] : m_introductions) {
+    if (m_presence.Of(introduction.m_replica, now) ==
+        consensus::Presence::kHeard)
+      hosts.insert(host);
+  }
+  hosts.erase(m_self.m_host);
+  PeerReport report;
+  for (const HostId& host : hosts) {
+    if (report.m_hosts.size() < kMaxReportedHosts)
+      report.m_hosts.push_back(host);
+  }
+  return report;
+}
+
+void ReplicaRunner::IntroduceTo(net::FrameClient& client) const {
+  client.Send(MakeIntroduction());
+  if (m_settings.m_discovers_peers)
+    client.Send(MakePeerReport());
+}
+
+// The seeds of the settings may all be gone when this process starts again, so
+// it also looks for the hosts that it has met before.
 void ReplicaRunner::ConnectToPeers() {
   for (const ControlPeer& peer : m_settings.m_peers)
     ConnectTo(peer);
+  if (!m_settings.m_discovers_peers)
+    return;
+  for (const Introduction& peer : m_recovered_log.m_peers.m_peers)
+    ConnectToDiscovered(peer.m_replica.m_host);
+}
+
+void ReplicaRunner::SetSeeds(const std::vector<ControlPeer>& seeds) {
+  if (!m_settings.m_discovers_peers)
+    return;
+  m_seeds = {m_self.m_host};
+  for (const ControlPeer& seed : seeds) {
+    m_seeds.insert(seed.m_host);
+    ConnectTo(seed);
+  }
 }
 
 void ReplicaRunner::ConnectTo(const ControlPeer& peer) {
   if (peer.m_host == m_settings.m_host || m_connections.contains(peer.m_host))
     return;
   m_peers.emplace(peer.m_host, peer);
-  m_last_connected.emplace(peer.m_host, MonoClock::now());
   OpenConnection(peer.m_host);
+  m_connections.at(peer.m_host).m_wanted_since = MonoClock::now();
+}
+
+void ReplicaRunner::ConnectToDiscovered(const HostId& host) {
+  const std::optional<Endpoint> endpoint = ParseEndpoint(host.m_value);
+  if (endpoint)
+    ConnectTo({.m_host = host, .m_peer = *endpoint});
 }
 
 void ReplicaRunner::OpenConnection(const HostId& host) {
@@ -139,7 +195,7 @@
         if (!connected)
           return;
         peer.m_connected_at = MonoClock::now();
-        raw_client->Send(MakeIntroduction());
+        IntroduceTo(*raw_client);
       });
   client->Start();
   peer.m_client = std::move(client);
@@ -172,8 +228,39 @@
   for (const auto& [host, peer] : m_connections) {
     ReopenIfUnusable(host);
     if (is_introduction_due)
-      peer.m_client->Send(MakeIntroduction());
+      IntroduceTo(*peer.m_client);
   }
+  if (m_settings.m_discovers_peers)
+    DisconnectFromLostHosts(now);
+}
+
+bool ReplicaRunner::IsMember(const HostId& host) const {
+  const Voters members = ConsensusStatus().m_voters;
+  const auto is_host = [&](const VoterId& member) {
+    return member.m_host == host;
+  };
+  return std::any_of(members.m_voters.begin(), members.m_voters.end(),
+                     is_host) ||
+         std::any_of(members.m_learners.begin(), members.m_learners.end(),
+                     is_host);
+}
+
+void ReplicaRunner::DisconnectFromLostHosts(MonoTime now) {
+  std::erase_if(m_connections, [&](const auto& element) {
+    const auto& [host, peer] = element;
+    if (m_seeds.contains(host) || IsMember(host) ||
+        now - peer.m_wanted_since < kHostLostTimeout)
+      return false;
+    const auto introduction = m_introductions.find(host);
+    if (introduction != m_introductions.end() &&
+        m_presence.SilenceOf(introduction->second.m_replica, now) <
+            kHostLostTimeout)
+      return false;
+    m_peers.erase(host);
+    m_introductions.erase(host);
+    m_presence.Forget(host);
+    return true;
+  });
 }
 
 // The id of a discovered host is the endpoint of its peer listener, so the ids
@@ -197,10 +284,7 @@
   const Voters members = m_replica->Status().m_voters;
   for (const auto* list : {&members.m_voters, &members.m_learners}) {
     for (const VoterId& member : *list) {
-      const std::optional<Endpoint> endpoint =
-          ParseEndpoint(member.m_host.m_value);
-      if (endpoint)
-        ConnectTo({.m_host = member.m_host, .m_peer = *endpoint});
+      ConnectToDiscovered(member.m_host);
     }
   }
 }
@@ -225,6 +309,10 @@
       [this](const net::FrameSource& source, const Introduction& introduction) {
         OnIntroduction(source, introduction);
       });
+  handlers->On<PeerReport>(
+      [this](const net::FrameSource& source, const PeerReport& report) {
+        OnPeerReport(source, report);
+      });
 }
 
 void ReplicaRunner::OnIntroduction(const net::FrameSource& source,
@@ -261,7 +349,9 @@
 void ReplicaRunner::RecordContact(const net::FrameSource& source,
                                   const Introduction& introduction) {
   const HostId& host = introduction.m_replica.m_host;
-  m_contacts.OnIntroduction(host, introduction.m_run, MonoClock::now());
+  const MonoTime now = MonoClock::now();
+  m_presence.OnHeard(introduction.m_replica, now);
+  m_contacts.OnIntroduction(host, introduction.m_run, now);
   const auto found = m_connections.find(host);
   if (found == m_connections.end())
     return;
@@ -283,13 +373,26 @@
     ReopenIfUnusable(host);
 }
 
+// A host that knows only hosts which do not lead, and is known only to them,
+// finds the others by these reports.
+void ReplicaRunner::OnPeerReport(const net::FrameSource& source,
+                                 const PeerReport& report) {
+  const auto peer = m_introduced_peers.find(source.m_incarnation);
+  if (!m_settings.m_discovers_peers || peer == m_introduced_peers.end())
+    return;
+  for (const HostId& host : report.m_hosts)
+    ConnectToDiscovered(host);
+}
+
 void ReplicaRunner::OnMessage(const net::FrameSource& source,
                               consensus::Message message) {
   const auto peer = m_introduced_peers.find(source.m_incarnation);
   const bool is_introduced = peer != m_introduced_peers.end() &&
                              peer->second == consensus::SenderOf(message);
-  if (is_introduced && m_replica)
-    Step(consensus::MessageReceived{std::move(message)});
+  if (!is_introduced || !m_replica)
+    return;
+  m_presence.OnHeard(peer->second, MonoClock::now());
+  Step(consensus::MessageReceived{std::move(message)});
 }
 
 // ---- Founding --------------------------------------------------------------
@@ -360,10 +463,7 @@
 
 void ReplicaRunner::UpdateMembership() {
   const MonoTime now = MonoClock::now();
-  for (const auto& [host, peer] : m_connections) {
-    if (peer.m_client->IsConnected())
-      m_last_connected[host] = now;
-  }
+  m_presence.OnUpdate(now);
   if (!m_settings.m_discovers_peers || !m_replica)
     return;
   ConnectToMembers();
@@ -377,9 +477,8 @@
   for (const auto* list :
        {&facts.m_members.m_voters, &facts.m_members.m_learners}) {
     for (const VoterId& member : *list) {
-      const auto last_connected = m_last_connected.find(member.m_host);
-      if (last_connected != m_last_connected.end() &&
-          now - last_connected->second > kMemberLostTimeout)
+      if (member != m_self &&
+          m_presence.SilenceOf(member, now) > kMemberLostTimeout)
         facts.m_lost.push_back(member);
     }
   }
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -15,12 +15,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "consensus/member_presence.h"
 #include "consensus/peer_contacts.h"
 #include "consensus/replica.h"
 #include "consensus/start_registry.h"
@@ -87,13 +89,15 @@
   void ChangeMembership(consensus::MembershipStep step,
                         const VoterId& replica,
                         ProposalCallback callback);
-  // Repeats the introduction to all peers, and opens connections again that
-  // lead to an earlier process of a peer or to a silent peer. Call it
-  // periodically.
+  // Repeats the introduction to all peers, opens connections again that lead to
+  // an earlier process of a peer or to a silent peer, and closes those to hosts
+  // that are gone. Call it periodically.
   void UpdatePeerConnections();
   // With peer discovery: connects to the members and, on the leader, proposes
   // the next change from PlanMembership. Call it periodically.
   void UpdateMembership();
+  // With peer discovery: replaces the hosts from which others are discovered.
+  void SetSeeds(const std::vector<ControlPeer>& seeds);
   // Peer endpoints of all members whose host id is an endpoint, including this
   // host.
   std::vector<Endpoint> MemberEndpoints() const;
@@ -119,6 +123,7 @@
   struct Peer {
     std::unique_ptr<net::FrameClient> m_client;
     MonoTime m_connected_at{};  // of the current or last connection
+    MonoTime m_wanted_since{};  // since then, the host is known
     // The connection over which the peer last introduced itself.
     std::weak_ptr<net::FrameConnection> m_introduced_over;
   };
@@ -134,8 +139,14 @@
   void RecordContact(const net::FrameSource& source,
                      const Introduction& introduction);
   void OnMessage(const net::FrameSource& source, consensus::Message message);
+  void OnPeerReport(const net::FrameSource& source, const PeerReport& report);
   Introduction MakeIntroduction() const;
+  PeerReport MakePeerReport() const;
+  void IntroduceTo(net::FrameClient& client) const;
   void ConnectToPeers();
+  // Connects to a host whose name is the endpoint of its peer listener.
+  void ConnectToDiscovered(const HostId& host);
+  void DisconnectFromLostHosts(MonoTime now);
   void ConnectTo(const ControlPeer& peer);
   void OpenConnection(const HostId& host);
   // Closes and opens the connection of this host to a peer.
@@ -144,6 +155,7 @@
   void ConnectToMembers();
   void AddDiscoveredPeer(const Introduction& introduction);
   bool IsConnectedAndIntroduced(const HostId& host) const;
+  bool IsMember(const HostId& host) const;
   void LogMembershipChange(const consensus::MembershipChange& change,
                            const ProposalOutcome& outcome);
   void TryFounding();
@@ -177,7 +189,8 @@
   std::map<HostId, Peer> m_connections;
   consensus::PeerContacts m_contacts;
   MonoTime m_next_introduction{};
-  std::map<HostId, MonoTime> m_last_connected;
+  consensus::MemberPresence m_presence{MonoClock::now()};
+  std::set<HostId> m_seeds;
   bool m_is_changing_members = false;
   std::string m_last_membership_refusal;  // empty after a change
   std::optional<consensus::Replica> m_replica;
--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -200,4 +200,14 @@
   friend auto operator<=>(const PeerStarts&, const PeerStarts&) = default;
 };
 
+// Follows each Introduction of a control host that discovers its peers.
+struct PeerReport {
+  std::vector<HostId>
+      m_hosts;  // members, and other control hosts that the sender heard
+                // recently; the receiver connects to those that it does not
+                // know (at most 64 elements)
+
+  friend auto operator<=>(const PeerReport&, const PeerReport&) = default;
+};
+
 }  // namespace jujube
--- a/src/gen/consensus_serialize.h
+++ b/src/gen/consensus_serialize.h
@@ -98,4 +98,9 @@
           value.m_founded, value.m_founders);
 }
 
+template <class Archive>
+void serialize(Archive& archive, PeerReport& value) {
+  archive(wire::Bounded(value.m_hosts, 64));
+}
+
 }  // namespace jujube
--- a/src/gen/consensus_wire.cc
+++ b/src/gen/consensus_wire.cc
@@ -127,4 +127,12 @@
   return wire::DecodeValue<Introduction>(bytes, "Introduction");
 }
 
+std::string Encode(const PeerReport& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<PeerReport> DecodePeerReport(std::string_view bytes) {
+  return wire::DecodeValue<PeerReport>(bytes, "PeerReport");
+}
+
 }  // namespace jujube
--- a/src/gen/consensus_wire.h
+++ b/src/gen/consensus_wire.h
@@ -57,4 +57,7 @@
 std::string Encode(const Introduction& value);
 Result<Introduction> DecodeIntroduction(std::string_view bytes);
 
+std::string Encode(const PeerReport& value);
+Result<PeerReport> DecodePeerReport(std::string_view bytes);
+
 }  // namespace jujube
--- a/src/gen/frames.h
+++ b/src/gen/frames.h
@@ -25,6 +25,7 @@
   kSnapshotReply = 15,
   kTimeoutNow = 16,
   kIntroduction = 17,
+  kPeerReport = 18,
   kFeedSubscribe = 20,
   kFeedChange = 21,
   kFeedSnapshotChunk = 22,
@@ -57,6 +58,8 @@
       return 4096;
     case 17:
       return 4096;
+    case 18:
+      return 16384;
     case 20:
       return 4096;
     case 21:
@@ -152,6 +155,14 @@
   }
 };
 
+template <>
+struct FrameTraits<PeerReport> {
+  static constexpr FrameType kType = FrameType::kPeerReport;
+  static Result<PeerReport> Decode(std::string_view bytes) {
+    return DecodePeerReport(bytes);
+  }
+};
+
 template <>
 struct FrameTraits<FeedSubscribe> {
   static constexpr FrameType kType = FrameType::kFeedSubscribe;
