Remove silent voters down to a full group, whatever their number

Cause: a lost voter was removed only while the number of voters was even. If a second successor became a voter before the first removed host was dropped, seven voters remained, two of them gone for good, and four of the five hosts in use were needed.

A silent voter is removed if a full group remains, or if a learner that has caught up takes its place. A full group grows only by a host that was heard for 20 s, since a newer one may replace a voter that is about to go, and a group of six would need both. A promotion never makes the group depend on the promoted host: with an odd number of voters the silent one is removed first, and the majority stays the same through both changes.

--- a/src/consensus/member_presence.cc
+++ b/src/consensus/member_presence.cc
@@ -7,7 +7,10 @@
 namespace jujube::consensus {
 
 void MemberPresence::OnHeard(const VoterId& replica, MonoTime now) {
-  m_contacts[replica].m_heard_at = now;
+  Contact& contact = m_contacts[replica];
+  if (now - contact.m_heard_at > kPeerSilenceTimeout)
+    contact.m_heard_since = now;
+  contact.m_heard_at = now;
 }
 
 void MemberPresence::OnUpdate(MonoTime now) {
@@ -34,6 +37,12 @@
   return is_heard ? Presence::kHeard : Presence::kUncertain;
 }
 
+bool MemberPresence::IsSettled(const VoterId& replica, MonoTime now) const {
+  const auto found = m_contacts.find(replica);
+  return found != m_contacts.end() && Of(replica, now) == Presence::kHeard &&
+         now - found->second.m_heard_since > kSettledTime;
+}
+
 void MemberPresence::Forget(const HostId& host) {
   std::erase_if(m_contacts, [&](const auto& element) {
     return element.first.m_host == host;
--- a/src/consensus/member_presence.h
+++ b/src/consensus/member_presence.h
@@ -26,6 +26,9 @@
  public:
   // A longer time between two updates means that this process was suspended.
   static constexpr std::chrono::milliseconds kMaxUpdateGap{1000};
+  // Longer than the time between the start of a host and the planned stop of
+  // the one that it replaces.
+  static constexpr std::chrono::milliseconds kSettledTime{20000};
 
   explicit MemberPresence(MonoTime now)
       : m_listening_since(now), m_updated_at(now) {}
@@ -34,6 +37,8 @@
   void OnUpdate(MonoTime now);
 
   Presence Of(const VoterId& replica, MonoTime now) const;
+  // True if the process of the replica was heard without a pause for this time.
+  bool IsSettled(const VoterId& replica, MonoTime now) const;
   // Time without a message of the replica, counted at most since this process
   // started or was resumed: before, it could hear nobody.
   MonoClock::duration SilenceOf(const VoterId& replica, MonoTime now) const;
@@ -44,6 +49,7 @@
  private:
   struct Contact {
     MonoTime m_heard_at{};
+    MonoTime m_heard_since{};  // without a silence in between
 
     friend auto operator<=>(const Contact&, const Contact&) = default;
   };
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -150,6 +150,9 @@
 
   const VoterId& Self() const { return m_self; }
   ReplicaStatus Status() const;
+  // Learners that kPromote would accept, except for another folder of the same
+  // host that is still a voter. Empty unless this replica leads.
+  std::vector<VoterId> CaughtUpLearners() const;
 
  private:
   struct PendingRead {
@@ -229,6 +232,7 @@
   std::optional<Error> CheckMembershipChange(
       const ChangeMembership& event) const;
   std::optional<Error> CheckPromotion(const VoterId& replica) const;
+  std::optional<Error> CheckCaughtUp(const VoterId& learner) const;
   template <class T>
   static T HighestQuorumValue(std::vector<T> values);
 
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -143,10 +143,14 @@
   if (host_has_voter)
     return MakeError(ErrorCode::kConflict,
                      "another folder of this host is a voter; remove it first");
-  const auto progress = m_progress.find(replica);
+  return CheckCaughtUp(replica);
+}
+
+std::optional<Error> Replica::CheckCaughtUp(const VoterId& learner) const {
+  const FollowerProgress* progress = ProgressOf(learner);
   const std::uint64_t match_index =
-      progress == m_progress.end() ? 0 : progress->second.m_match_index;
-  const std::uint64_t required_index = m_membership.JoinIndex(replica);
+      progress == nullptr ? 0 : progress->m_match_index;
+  const std::uint64_t required_index = m_membership.JoinIndex(learner);
   if (match_index < required_index)
     return UnavailableError("the learner's log is durable up to index " +
                             std::to_string(match_index) +
@@ -155,6 +159,17 @@
   return std::nullopt;
 }
 
+std::vector<VoterId> Replica::CaughtUpLearners() const {
+  std::vector<VoterId> learners;
+  if (m_role != Role::kLeader)
+    return learners;
+  for (const VoterId& learner : m_membership.Current().m_learners) {
+    if (!CheckCaughtUp(learner))
+      learners.push_back(learner);
+  }
+  return learners;
+}
+
 std::optional<Error> Replica::CheckMembershipChange(
     const ChangeMembership& event) const {
   const Voters& voters = m_membership.Current();
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -453,12 +453,35 @@
 
 // ---- Membership with discovered hosts --------------------------------------
 
-bool ReplicaRunner::IsConnectedAndIntroduced(const HostId& host) const {
-  if (host == m_self.m_host)
-    return true;
+bool ReplicaRunner::IsConnectedTo(const HostId& host) const {
   const auto peer = m_connections.find(host);
-  return peer != m_connections.end() && peer->second.m_client->IsConnected() &&
-         m_introductions.contains(host);
+  return peer != m_connections.end() && peer->second.m_client->IsConnected();
+}
+
+consensus::MembershipFacts ReplicaRunner::CollectMembershipFacts(
+    MonoTime now) const {
+  consensus::MembershipFacts facts{.m_members = m_replica->Status().m_voters,
+                                   .m_heard = {m_self},
+                                   .m_caught_up = m_replica->CaughtUpLearners(),
+                                   .m_full_voters = m_settings.m_full_voters};
+  for (const auto& [host, introduction] : m_introductions) {
+    const VoterId& replica = introduction.m_replica;
+    if (IsConnectedTo(host) &&
+        m_presence.Of(replica, now) == consensus::Presence::kHeard)
+      facts.m_heard.push_back(replica);
+  }
+  for (const VoterId& voter : facts.m_members.m_voters) {
+    if (voter != m_self &&
+        m_presence.SilenceOf(voter, now) > kMemberLostTimeout)
+      facts.m_silent.push_back(voter);
+  }
+  for (const VoterId& learner : facts.m_members.m_learners) {
+    if (m_presence.SilenceOf(learner, now) > kMemberLostTimeout)
+      facts.m_lost_learners.push_back(learner);
+    if (m_presence.IsSettled(learner, now))
+      facts.m_settled.push_back(learner);
+  }
+  return facts;
 }
 
 void ReplicaRunner::UpdateMembership() {
@@ -469,19 +492,7 @@
   ConnectToMembers();
   if (!IsLeader() || m_is_changing_members)
     return;
-  consensus::MembershipFacts facts{.m_members = m_replica->Status().m_voters};
-  for (const auto& [host, introduction] : m_introductions) {
-    if (IsConnectedAndIntroduced(host))
-      facts.m_connected.push_back(introduction.m_replica);
-  }
-  for (const auto* list :
-       {&facts.m_members.m_voters, &facts.m_members.m_learners}) {
-    for (const VoterId& member : *list) {
-      if (member != m_self &&
-          m_presence.SilenceOf(member, now) > kMemberLostTimeout)
-        facts.m_lost.push_back(member);
-    }
-  }
+  const consensus::MembershipFacts facts = CollectMembershipFacts(now);
   const std::optional<consensus::MembershipChange> change =
       consensus::PlanMembership(facts);
   if (!change)
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -37,6 +37,7 @@
 
 namespace jujube::consensus {
 struct MembershipChange;
+struct MembershipFacts;
 }  // namespace jujube::consensus
 
 namespace jujube::controld {
@@ -154,8 +155,9 @@
   void ReopenIfUnusable(const HostId& host);
   void ConnectToMembers();
   void AddDiscoveredPeer(const Introduction& introduction);
-  bool IsConnectedAndIntroduced(const HostId& host) const;
+  bool IsConnectedTo(const HostId& host) const;
   bool IsMember(const HostId& host) const;
+  consensus::MembershipFacts CollectMembershipFacts(MonoTime now) const;
   void LogMembershipChange(const consensus::MembershipChange& change,
                            const ProposalOutcome& outcome);
   void TryFounding();
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -129,6 +129,11 @@
       false;  // control hosts that are not in `peers` may join under the
               // address and port of their peer listener as name; the leader
               // adds them to the membership
+  std::uint16_t m_full_voters =
+      3;  // with `discovers_peers`, the number of voters that tolerates all
+          // losses which the deployment requires; a silent voter is removed
+          // without a replacement only if this number remains (from 3, at most
+          // 19)
   std::chrono::milliseconds m_announcement_interval{
       1500};  // interval at which upstreams announce themselves to control
               // hosts (from 50, at most 60000)
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -187,6 +187,7 @@
               value.m_data_folder);
   reader.Read("discovers_peers", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_discovers_peers);
+  reader.Read("full_voters", Presence::kOptional, {3, 19}, value.m_full_voters);
   reader.Read("announcement_interval_ms", Presence::kOptional, {50, 60000},
               value.m_announcement_interval);
   reader.Read("join", Presence::kOptional, {std::nullopt, std::nullopt},
@@ -213,6 +214,7 @@
   PutJson(object, "peers", value.m_peers);
   PutJson(object, "data_folder", value.m_data_folder);
   PutJson(object, "discovers_peers", value.m_discovers_peers);
+  PutJson(object, "full_voters", value.m_full_voters);
   PutJson(object, "announcement_interval_ms", value.m_announcement_interval);
   PutJson(object, "join", value.m_join);
   PutJson(object, "peer_key_file", value.m_peer_key_file);
