Pass the vote of a silent or stopping host to its replacement in time

Cause: a lost voter was dropped 8 s after its connection was last open, which itself could stay open for seconds after a loss of power. Until then six voters needed four votes of five hosts.

Fix: MemberPresence takes a host to be silent 1.7 s after its last message (the time after which its connection is opened again), and to be stopping at once when it says so. A process that was suspended counts silence from its return. A host that stops as planned says so to its peers and ends once a replacement that is at hand has its vote, within 1.5 s: a planned replacement starts the successor first and stops the old host 2 s later. A transfer of leadership without a target goes to the voter that replied last, not to the last address, which may have stopped.

Ruled out: a shorter time after which the connection counts as lost; the connection of a host that loses power says nothing about it.

The transfer's target was found by reading; no test shows it alone.

--- a/src/consensus/events.h
+++ b/src/consensus/events.h
@@ -58,7 +58,8 @@
 };
 
 // Transfers leadership to another voter, for example before a planned stop. If
-// m_to is empty, the voter with the highest match index is chosen. The token
+// m_to is empty, the voter with the highest match index is chosen, and of those
+// the one that replied last. The token
 // appears only in m_refused; an aborted transfer is not reported.
 struct TransferLeadership {
   std::uint64_t m_token = 0;
--- a/src/consensus/member_presence.cc
+++ b/src/consensus/member_presence.cc
@@ -13,6 +13,21 @@
   contact.m_heard_at = now;
 }
 
+void MemberPresence::OnStopping(const VoterId& replica, std::uint64_t run) {
+  Contact& contact = m_contacts[replica];
+  if (contact.m_run == run)
+    contact.m_is_stopping = true;
+}
+
+void MemberPresence::OnRun(const VoterId& replica, std::uint64_t run) {
+  Contact& contact = m_contacts[replica];
+  if (contact.m_run == run)
+    return;
+  contact.m_run = run;
+  contact.m_is_stopping = false;
+  contact.m_heard_at = {};
+}
+
 void MemberPresence::OnUpdate(MonoTime now) {
   if (now - m_updated_at > kMaxUpdateGap)
     m_listening_since = now;
@@ -29,6 +44,8 @@
 
 Presence MemberPresence::Of(const VoterId& replica, MonoTime now) const {
   const auto found = m_contacts.find(replica);
+  if (found != m_contacts.end() && found->second.m_is_stopping)
+    return Presence::kSilent;
   if (SilenceOf(replica, now) > kPeerSilenceTimeout)
     return Presence::kSilent;
   const bool is_heard =
--- a/src/consensus/member_presence.h
+++ b/src/consensus/member_presence.h
@@ -1,6 +1,7 @@
 // MemberPresence: which control hosts this host hears.
 //
 //   presence.OnHeard(replica, now);       // any message of the replica
+//   presence.OnStopping(replica, run);    // it said that it is about to stop
 //   presence.OnUpdate(now);               // at least every kMaxUpdateGap
 //   if (presence.Of(replica, now) == Presence::kSilent) ...
 
@@ -19,7 +20,7 @@
 enum class Presence : std::uint8_t {
   kHeard,      // heard within two introduction intervals
   kUncertain,  // neither
-  kSilent,     // not heard for longer than kPeerSilenceTimeout
+  kSilent,     // not heard for longer than kPeerSilenceTimeout, or stopping
 };
 
 class MemberPresence {
@@ -34,6 +35,9 @@
       : m_listening_since(now), m_updated_at(now) {}
 
   void OnHeard(const VoterId& replica, MonoTime now);
+  // run: incarnation of the replica's process; a later one is not stopping.
+  void OnStopping(const VoterId& replica, std::uint64_t run);
+  void OnRun(const VoterId& replica, std::uint64_t run);
   void OnUpdate(MonoTime now);
 
   Presence Of(const VoterId& replica, MonoTime now) const;
@@ -50,6 +54,8 @@
   struct Contact {
     MonoTime m_heard_at{};
     MonoTime m_heard_since{};  // without a silence in between
+    std::uint64_t m_run = 0;
+    bool m_is_stopping = false;
 
     friend auto operator<=>(const Contact&, const Contact&) = default;
   };
--- a/src/consensus/replica_leader.cc
+++ b/src/consensus/replica_leader.cc
@@ -294,12 +294,15 @@
     return;
   std::optional<VoterId> to = event.m_to;
   if (!to) {
-    std::uint64_t highest_match_index = 0;
+    // Among voters with equal logs, one that has just replied: the others may
+    // have stopped.
+    std::pair<std::uint64_t, MonoTime> best;
     for (const auto& [member, progress] : m_progress) {
-      if (!IsVoter(m_membership.Current(), member) ||
-          progress.m_match_index < highest_match_index)
+      const std::pair candidate(progress.m_match_index,
+                                progress.m_last_contact);
+      if (!IsVoter(m_membership.Current(), member) || candidate < best)
         continue;
-      highest_match_index = progress.m_match_index;
+      best = candidate;
       to = member;
     }
   }
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -32,6 +32,10 @@
 // when the leadership ends, so only a client that does not read takes this
 // long.
 constexpr milliseconds kResponseTimeout{5000};
+// Limits how long a planned stop waits for the replacement of this host. Two
+// membership changes take less; a learner may also be too slow or too far
+// behind to replace it.
+constexpr milliseconds kReplacementTimeout{1500};
 
 std::uint64_t RandomNumber() {
   std::random_device device;
@@ -97,6 +101,7 @@
   std::size_t OpenConnections() const;
   asio::awaitable<void> HandleSignals();
   asio::awaitable<void> TransferLeadership();
+  asio::awaitable<void> WaitForReplacement();
   asio::awaitable<void> SleepForPollInterval();
 
   const ControlSettings m_settings;
@@ -167,7 +172,9 @@
     if (!seeds.empty())
       m_service->Runner().SetSeeds(seeds);
   }
+  m_service->Runner().AnnounceStop();
   co_await TransferLeadership();
+  co_await WaitForReplacement();
   for (const auto& listener : m_listeners)
     listener->Close();
   // Lets the listeners close their idle connections before the first count.
@@ -192,6 +199,14 @@
     co_await SleepForPollInterval();
 }
 
+// A host that is removed for good must not stop before its replacement votes:
+// the group would have to bear its loss beside two others until then.
+asio::awaitable<void> Daemon::Impl::WaitForReplacement() {
+  const MonoTime deadline = MonoClock::now() + kReplacementTimeout;
+  while (m_service->Runner().AwaitsReplacement() && MonoClock::now() < deadline)
+    co_await SleepForPollInterval();
+}
+
 asio::awaitable<void> Daemon::Impl::SleepForPollInterval() {
   asio::steady_timer timer(m_io, kStopPollInterval);
   co_await timer.async_wait(kTuple);
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -19,9 +19,9 @@
 
 namespace {
 
-// Longer than a restart or a transient network partition, so that a host that
-// returns in time remains a member and need not receive the log again.
-constexpr milliseconds kMemberLostTimeout{8000};
+// Longer than a restart or a transient network partition, so that a learner
+// that returns in time need not join again.
+constexpr milliseconds kLearnerLostTimeout{8000};
 // A host that is neither a member nor a seed is forgotten after this silence.
 constexpr milliseconds kHostLostTimeout{20000};
 // Limit of PeerReport in the schema.
@@ -137,7 +137,7 @@
       hosts.insert(host);
   }
   hosts.erase(m_self.m_host);
-  PeerReport report;
+  PeerReport report{.m_stopping = m_is_stop_announced};
   for (const HostId& host : hosts) {
     if (report.m_hosts.size() < kMaxReportedHosts)
       report.m_hosts.push_back(host);
@@ -172,6 +172,14 @@
   }
 }
 
+void ReplicaRunner::AnnounceStop() {
+  m_is_stop_announced = true;
+  if (!m_settings.m_discovers_peers)
+    return;
+  for (const auto& [host, peer] : m_connections)
+    peer.m_client->Send(MakePeerReport());
+}
+
 void ReplicaRunner::ConnectTo(const ControlPeer& peer) {
   if (peer.m_host == m_settings.m_host || m_connections.contains(peer.m_host))
     return;
@@ -350,6 +358,7 @@
                                   const Introduction& introduction) {
   const HostId& host = introduction.m_replica.m_host;
   const MonoTime now = MonoClock::now();
+  m_presence.OnRun(introduction.m_replica, introduction.m_run);
   m_presence.OnHeard(introduction.m_replica, now);
   m_contacts.OnIntroduction(host, introduction.m_run, now);
   const auto found = m_connections.find(host);
@@ -380,6 +389,8 @@
   const auto peer = m_introduced_peers.find(source.m_incarnation);
   if (!m_settings.m_discovers_peers || peer == m_introduced_peers.end())
     return;
+  if (report.m_stopping)
+    m_presence.OnStopping(peer->second, source.m_incarnation);
   for (const HostId& host : report.m_hosts)
     ConnectToDiscovered(host);
 }
@@ -472,11 +483,11 @@
   }
   for (const VoterId& voter : facts.m_members.m_voters) {
     if (voter != m_self &&
-        m_presence.SilenceOf(voter, now) > kMemberLostTimeout)
+        m_presence.Of(voter, now) == consensus::Presence::kSilent)
       facts.m_silent.push_back(voter);
   }
   for (const VoterId& learner : facts.m_members.m_learners) {
-    if (m_presence.SilenceOf(learner, now) > kMemberLostTimeout)
+    if (m_presence.SilenceOf(learner, now) > kLearnerLostTimeout)
       facts.m_lost_learners.push_back(learner);
     if (m_presence.IsSettled(learner, now))
       facts.m_settled.push_back(learner);
@@ -531,6 +542,15 @@
                 {"error", outcome.m_error}});
 }
 
+bool ReplicaRunner::AwaitsReplacement() const {
+  const Voters members = ConsensusStatus().m_voters;
+  const bool has_replacement =
+      !members.m_learners.empty() ||
+      members.m_voters.size() > m_settings.m_full_voters;
+  return m_settings.m_discovers_peers && has_replacement &&
+         consensus::IsVoter(members, m_self);
+}
+
 std::vector<Endpoint> ReplicaRunner::MemberEndpoints() const {
   std::vector<Endpoint> endpoints;
   const Voters members = ConsensusStatus().m_voters;
--- a/src/controld/replica_runner.h
+++ b/src/controld/replica_runner.h
@@ -99,6 +99,11 @@
   void UpdateMembership();
   // With peer discovery: replaces the hosts from which others are discovered.
   void SetSeeds(const std::vector<ControlPeer>& seeds);
+  // Tells all peers that this process is about to stop, so that its vote can
+  // pass to a replacement without waiting for its silence.
+  void AnnounceStop();
+  // True while this host is a voter that another host can replace.
+  bool AwaitsReplacement() const;
   // Peer endpoints of all members whose host id is an endpoint, including this
   // host.
   std::vector<Endpoint> MemberEndpoints() const;
@@ -193,6 +198,7 @@
   MonoTime m_next_introduction{};
   consensus::MemberPresence m_presence{MonoClock::now()};
   std::set<HostId> m_seeds;
+  bool m_is_stop_announced = false;
   bool m_is_changing_members = false;
   std::string m_last_membership_refusal;  // empty after a change
   std::optional<consensus::Replica> m_replica;
--- a/src/gen/consensus.h
+++ b/src/gen/consensus.h
@@ -206,6 +206,7 @@
       m_hosts;  // members, and other control hosts that the sender heard
                 // recently; the receiver connects to those that it does not
                 // know (at most 64 elements)
+  bool m_stopping = false;  // the process of the sender is about to stop
 
   friend auto operator<=>(const PeerReport&, const PeerReport&) = default;
 };
--- a/src/gen/consensus_serialize.h
+++ b/src/gen/consensus_serialize.h
@@ -100,7 +100,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, PeerReport& value) {
-  archive(wire::Bounded(value.m_hosts, 64));
+  archive(wire::Bounded(value.m_hosts, 64), value.m_stopping);
 }
 
 }  // namespace jujube
--- a/tests/unit/consensus_cluster.h
+++ b/tests/unit/consensus_cluster.h
@@ -46,6 +46,10 @@
     bool m_lost_quorum = false;
     bool m_wrong_folder = false;
     bool m_isolated = false;
+    int m_partition = 0;  // messages pass only within a partition
+    std::uint64_t m_starts = 0;
+
+    bool IsRunning() const { return m_replica.has_value(); }
   };
 
   // The first `voter_count` of `node_count` replicas are the initial voters.
@@ -55,9 +59,7 @@
       : m_options(options) {
     Voters initial_voters;
     for (std::size_t i = 0; i < node_count; ++i) {
-      Node& node = m_nodes.emplace_back();
-      node.m_disk = std::make_unique<storage::FakeDisk>();
-      node.m_id = {{"c" + std::to_string(i)}, 100 + i};
+      Node& node = CreateNode();
       if (i < voter_count)
         initial_voters.m_voters.push_back(node.m_id);
     }
@@ -65,6 +67,35 @@
       StartNode(i, i < voter_count ? &initial_voters : nullptr);
   }
 
+  // Starts a host with an empty disk and returns its position.
+  std::size_t AddNode() {
+    CreateNode();
+    StartNode(m_nodes.size() - 1, nullptr);
+    return m_nodes.size() - 1;
+  }
+
+  // Ends the process; unsynced data is lost.
+  void Stop(std::size_t i) {
+    Node& node = NodeAt(i);
+    node.m_replica.reset();
+    node.m_store.reset();
+    node.m_disk_jobs.clear();
+    node.m_disk->Crash(0);
+  }
+  void Start(std::size_t i) { StartNode(i, nullptr); }
+
+  // Replaces the disk of a stopped node by an empty one.
+  void LoseDisk(std::size_t i) {
+    Node& node = NodeAt(i);
+    node.m_disk = std::make_unique<storage::FakeDisk>();
+    node.m_id.m_folder = ++m_last_folder;
+  }
+
+  std::uint64_t LastCommittedIndex() const {
+    return m_committed_entries.empty() ? 0
+                                       : m_committed_entries.rbegin()->first;
+  }
+
   Node& NodeAt(std::size_t i) { return m_nodes[i]; }
   std::size_t NodeCount() const { return m_nodes.size(); }
   MonoTime Now() const { return m_now; }
@@ -90,7 +121,7 @@
   void AdvanceClock(milliseconds duration) {
     m_now += duration;
     for (std::size_t i = 0; i < NodeCount(); ++i) {
-      if (m_now >= NodeAt(i).m_replica->NextDeadline())
+      if (NodeAt(i).IsRunning() && m_now >= NodeAt(i).m_replica->NextDeadline())
         Step(i, Tick{});
     }
   }
@@ -116,10 +147,17 @@
                       static_cast<std::ptrdiff_t>(position));
     const auto from = IndexOf(SenderOf(message).m_host);
     const auto to = IndexOf(ReceiverOf(message).m_host);
-    if (!NodeAt(from).m_isolated && !NodeAt(to).m_isolated)
+    if (CanReach(from, to))
       Step(to, MessageReceived{message});
   }
 
+  bool CanReach(std::size_t from, std::size_t to) {
+    const Node& sender = NodeAt(from);
+    const Node& receiver = NodeAt(to);
+    return !sender.m_isolated && !receiver.m_isolated && sender.IsRunning() &&
+           receiver.IsRunning() && sender.m_partition == receiver.m_partition;
+  }
+
   // Delivers messages and runs disk jobs until none is left or all remaining
   // jobs fail. The clock does not advance.
   void RunUntilIdle() {
@@ -147,6 +185,8 @@
   std::optional<std::size_t> Leader() {
     std::optional<std::size_t> leader;
     for (std::size_t i = 0; i < NodeCount(); ++i) {
+      if (!NodeAt(i).IsRunning())
+        continue;
       const bool is_leader = Status(i).m_role == Role::kLeader;
       if (is_leader && (!leader || Status(i).m_term > Status(*leader).m_term))
         leader = i;
@@ -173,8 +213,7 @@
   }
 
   std::uint64_t Read(std::size_t i) {
-    m_min_read_index[++m_last_token] =
-        m_committed_entries.empty() ? 0 : m_committed_entries.rbegin()->first;
+    m_min_read_index[++m_last_token] = LastCommittedIndex();
     Step(i, consensus::ReadBarrier{.m_token = m_last_token});
     return m_last_token;
   }
@@ -197,8 +236,15 @@
   std::deque<Message> m_network;  // messages that are not delivered yet
 
  private:
-  std::size_t IndexOf(const HostId& host) const {
-    return static_cast<std::size_t>(host.m_value.at(1) - '0');
+  static std::size_t IndexOf(const HostId& host) {
+    return std::stoul(host.m_value.substr(1));
+  }
+
+  Node& CreateNode() {
+    Node& node = m_nodes.emplace_back();
+    node.m_disk = std::make_unique<storage::FakeDisk>();
+    node.m_id = {{"c" + std::to_string(m_nodes.size() - 1)}, ++m_last_folder};
+    return node;
   }
 
   // Opens the store and starts the replica. With `initial_voters`, first stores
@@ -221,6 +267,7 @@
     LoadState(i, log.m_snapshot.value_or(SnapshotInfo{}));
     ReplicaOptions options = m_options;
     options.m_random_seed = MixHash(i + 1, log.m_identity.m_starts);
+    ++node.m_starts;
     node.m_replica.emplace(
         node.m_id, options,
         RestoredState{log.m_state, log.m_snapshot, log.m_entries}, m_now);
@@ -339,9 +386,10 @@
   }
 
   ReplicaOptions m_options;
-  std::vector<Node> m_nodes;
+  std::deque<Node> m_nodes;
   MonoTime m_now{};
   std::uint64_t m_last_token = 0;
+  std::uint64_t m_last_folder = 99;
   // Nodes with a pending write of the last chunk of a snapshot. TakeSnapshot
   // does nothing on them.
   std::set<std::size_t> m_final_chunk_writers;
