Let entry hosts follow the control hosts that replaced their seeds

Once all seeds were replaced, its configuration was not confirmed any more, and unknown paths were answered with 503 for good. It also kept the lists of control hosts that are gone, and with them connections to hosts that are gone; SIGHUP with other seeds had no effect.

Fix: the parents of the feed are the control hosts that are known now. The list of a control host that is silent for 20 s is dropped while others are heard, and SIGHUP replaces the seeds.

--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -218,8 +218,12 @@
                                [&] { state.RequestStop(); });
           return;
         }
-        if (state.m_front_end.m_on_reload)
-          state.m_front_end.m_on_reload();
+        if (state.m_front_end.m_reload_seeds) {
+          state.m_threads.Post(kControlThreadIndex,
+                               [&, seeds = state.m_front_end.m_reload_seeds()] {
+                                 state.m_control.SetSeeds(seeds);
+                               });
+        }
         signals.async_wait(on_signal);
       };
   signals.async_wait(on_signal);
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -41,6 +41,9 @@
 // after three lost heartbeats.
 constexpr milliseconds kPresenceInterval{500};
 constexpr milliseconds kControlTimeout{1700};
+// A control host that is silent for longer than a restart or a transient
+// network partition is taken to be gone, as long as others are heard.
+constexpr milliseconds kControlHostLostTimeout{20000};
 
 // Time without reports from control hosts also changes the entry hosts that
 // callers are told, so the lists are computed again at this interval.
@@ -162,15 +165,49 @@
     m_newest_feed_host = *sender;
   }
   // A control host sends its list of control hosts only when the list changes.
-  // The lists of all senders are merged, because a partitioned host may have an
-  // incomplete one.
+  ControlHostReport& report = m_control_host_reports[delta.m_host];
+  report.m_heard_at = MonoClock::now();
   if (delta.m_control_hosts.empty())
     return;
-  m_control_hosts_by_sender[delta.m_host] = delta.m_control_hosts;
-  std::vector<Endpoint> hosts = m_shared.m_settings.m_control;
-  for (const auto& [host, list] : m_control_hosts_by_sender)
-    hosts.insert(hosts.end(), list.begin(), list.end());
+  report.m_hosts = delta.m_control_hosts;
+  UpdateControlHosts(MonoClock::now());
+}
+
+// The lists of all senders are merged, because a partitioned host may have an
+// incomplete one. The list of a sender that is gone would name hosts that are
+// gone too, so it is dropped while others are heard.
+void EntryControl::UpdateControlHosts(MonoTime now) {
+  m_control_hosts_due = now + kControlTimeout;
+  const bool hears_any =
+      std::any_of(m_control_host_reports.begin(), m_control_host_reports.end(),
+                  [&](const auto& element) {
+                    return now - element.second.m_heard_at < kControlTimeout;
+                  });
+  if (hears_any) {
+    std::erase_if(m_control_host_reports, [&](const auto& element) {
+      return now - element.second.m_heard_at > kControlHostLostTimeout;
+    });
+  }
+  std::vector<Endpoint> hosts = m_seeds;
+  for (const auto& [sender, report] : m_control_host_reports) {
+    for (const Endpoint& host : report.m_hosts) {
+      if (std::find(hosts.begin(), hosts.end(), host) == hosts.end())
+        hosts.push_back(host);
+    }
+  }
+  if (hosts == m_control_hosts)
+    return;
+  m_control_hosts = hosts;
   m_peers.SetPeers(hosts);
+  if (m_feed_client && m_shared.m_settings.m_feed_parents.empty())
+    m_feed_client->SetParents(hosts);
+}
+
+void EntryControl::SetSeeds(const std::vector<Endpoint>& seeds) {
+  if (!m_shared.m_settings.m_discovers_control || seeds.empty())
+    return;
+  m_seeds = seeds;
+  UpdateControlHosts(MonoClock::now());
 }
 
 // Switches the feed to the control host with the newest state if the current
@@ -257,8 +294,7 @@
         feed::Canonical({.m_deployment = *std::move(initial_deployment)})));
   }
   UpdatePresence();
-  if (m_shared.m_settings.m_discovers_control)
-    m_peers.SetPeers(m_shared.m_settings.m_control);
+  SetSeeds(m_shared.m_settings.m_control);
   m_peers.Start();
   if (HasControlHosts()) {
     m_feed_client = std::make_unique<net::FeedClient>(m_io, MakeFeedOptions(),
@@ -492,6 +528,8 @@
   UpdateConfigConfirmation(now);
   UpdatePresence();
   UpdateEntryHostLists(now);
+  if (m_shared.m_settings.m_discovers_control && now >= m_control_hosts_due)
+    UpdateControlHosts(now);
   if (m_is_view_outdated)
     PublishView();
   if (m_metrics.IsDue(now))
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -56,6 +56,9 @@
   // Merges an announcement of an upstream into the registry.
   void OnAnnouncement(const Announcement& announcement);
 
+  // Replaces the seeds, from which the control hosts are discovered.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   // Starts the planned stop and calls `on_drained` once it is complete.
   void StartDrain(std::function<void()> on_drained);
   // True if the drain limit passed while requests were still in progress.
@@ -82,6 +85,7 @@
   bool UsesAllotments() const;
   net::PeerExchangeOptions MakePeerOptions();
   void OnPeerDelta(const RegistryDelta& delta);
+  void UpdateControlHosts(MonoTime now);
   void SwitchToNewerFeed(MonoTime now);
   void UpdatePresence();
   net::FeedClientOptions MakeFeedOptions() const;
@@ -125,8 +129,14 @@
   std::optional<request::HostDrain> m_drain;
   std::function<void()> m_on_drained;
   ControlMetrics m_metrics;
-  std::map<HostId, std::vector<Endpoint>>
-      m_control_hosts_by_sender;  // lists reported by control hosts
+  struct ControlHostReport {
+    std::vector<Endpoint> m_hosts;  // as the sender listed them last
+    MonoTime m_heard_at{};
+  };
+  std::vector<Endpoint> m_seeds;  // control hosts named by the settings
+  std::map<HostId, ControlHostReport> m_control_host_reports;  // by sender
+  std::vector<Endpoint> m_control_hosts;  // the seeds and all reported hosts
+  MonoTime m_control_hosts_due;           // next time to bring them up to date
   std::map<Endpoint, std::uint64_t> m_feed_index_by_host;  // last reported ones
   std::uint64_t m_newest_feed_index = 0;  // highest that control hosts reported
   Endpoint m_newest_feed_host;            // control host that last reported it
--- a/src/entry/front_end.h
+++ b/src/entry/front_end.h
@@ -30,8 +30,9 @@
       m_make_handler;
   net::HttpListenerOptions m_listener;
   std::vector<FrontEndListener> m_further_listeners;
-  // Called after SIGHUP, on the signal thread. May be empty.
-  std::function<void()> m_on_reload;
+  // Called after SIGHUP, on the signal thread. May be empty. Returns the
+  // control hosts named by the settings now, or nothing if they are unreadable.
+  std::function<std::vector<Endpoint>()> m_reload_seeds;
 };
 
 // Front end for look-ups and requests of the native interface.
--- a/src/net/feed_client.cc
+++ b/src/net/feed_client.cc
@@ -300,6 +300,17 @@
     m_impl->m_frame_client->Stop();
 }
 
+void FeedClient::SetParents(const std::vector<Endpoint>& parents) {
+  assert(!parents.empty());
+  const Endpoint current = ParentEndpoint();
+  std::vector<Endpoint>& list = m_impl->m_options.m_parents;
+  list = parents;
+  auto position = std::find(list.begin(), list.end(), current);
+  if (position == list.end())
+    position = list.insert(position, current);
+  m_impl->m_parent_index = static_cast<std::size_t>(position - list.begin());
+}
+
 void FeedClient::SwitchTo(const Endpoint& parent) {
   m_impl->SwitchTo(parent);
 }
--- a/src/net/feed_client.h
+++ b/src/net/feed_client.h
@@ -71,6 +71,10 @@
   // it is the current parent, the client reconnects to it.
   void SwitchTo(const Endpoint& parent);
 
+  // Replaces the list of parents; must not be empty. A current parent that is
+  // missing in it is kept until it fails.
+  void SetParents(const std::vector<Endpoint>& parents);
+
   // The subscriber with the received state. FeedServer::Source() returns the
   // publisher instead.
   const feed::Subscriber& Source() const;
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -298,6 +298,34 @@
   WaitUntil("the successor is a voter", [&] { return HasPromotions(3); });
 }
 
+// Guards against an entry host that asks only the seeds of its start for the
+// configuration, which are all replaced later.
+TEST_F(DiscoveryTest, EntryHostFollowsControlHostsThatReplacedTheSeeds) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  WaitUntil("both unnamed hosts are voters", [&] { return HasPromotions(2); });
+  m_hosts.at(0)->Kill();
+  Start(kSuccessor, false);
+  WaitUntil("a successor is a voter", [&] { return HasPromotions(3); });
+  m_hosts.at(1)->Kill();
+  Start(kOtherSuccessor, false);
+  WaitUntil("two successors are voters", [&] { return HasPromotions(4); });
+  m_hosts.at(2)->Kill();
+  // Answered with 404 only while the configuration was confirmed lately.
+  int confirmed = 0;
+  constexpr int kChecks = 50;
+  WaitUntil("the configuration stays confirmed", [&] {
+    const int status =
+        Call({.m_address = AddressOf(kEntryHost), .m_port = kRequestPort},
+             "GET /unknown/1")
+            .m_status;
+    confirmed = status == 404 ? confirmed + 1 : 0;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return confirmed == kChecks;
+  });
+}
+
 // Guards against two accepted changes with the same base version, and against
 // the refusal of a document that is sent again because its response was lost.
 TEST_F(DiscoveryTest, OneOfTwoDocumentsOnABaseWins) {
