Bound the log of the control hosts by bytes

Uncommitted entries take half of it, messages on their way to one follower a sixteenth, segments on disk a quarter each.

--- a/src/consensus/follower_progress.h
+++ b/src/consensus/follower_progress.h
@@ -24,8 +24,15 @@
   std::uint64_t m_next_index = 1;  // first entry of the next message
   // A probe is outstanding; none is sent until its reply or the next heartbeat.
   bool m_probe_sent = false;
-  // Last entry index of each unacknowledged message.
-  std::deque<std::uint64_t> m_in_flight;
+  struct MessageInFlight {
+    std::uint64_t m_last_index = 0;
+    std::size_t m_bytes = 0;
+
+    friend auto operator<=>(const MessageInFlight&,
+                            const MessageInFlight&) = default;
+  };
+  std::deque<MessageInFlight> m_in_flight;  // unacknowledged messages
+  std::size_t m_bytes_in_flight = 0;
   std::uint64_t m_read_round = 0;  // highest round in a reply
   // Time of the last reply in this term; at first, the start of tracking.
   MonoTime m_last_contact{};
@@ -38,6 +45,9 @@
   // m_in_flight.
   void AdvanceMatch(std::uint64_t match_index);
 
+  void AddInFlight(const MessageInFlight& message);
+  void ClearInFlight();
+
   // Returns to probing, starting after `index`.
   void ProbeAfter(std::uint64_t index);
 };
--- a/src/consensus/log_window.h
+++ b/src/consensus/log_window.h
@@ -50,11 +50,20 @@
 
   // Total data size in bytes of the entries after `index`.
   std::size_t BytesAfter(std::uint64_t index) const;
+  // Total data size in bytes of all entries.
+  std::size_t Bytes() const { return m_bytes; }
+
+  // The lowest base for which the entries from there up to `index` are within
+  // both limits.
+  std::uint64_t BaseWithin(std::uint64_t index,
+                           std::uint64_t max_entries,
+                           std::size_t max_bytes) const;
 
  private:
   std::uint64_t m_base_index;
   std::uint64_t m_base_term;
   std::deque<LogEntry> m_entries;
+  std::size_t m_bytes = 0;
 };
 
 }  // namespace jujube::consensus
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -160,6 +160,12 @@
                   "too much uncommitted data in the log");
     return;
   }
+  if (m_log.Bytes() + event.m_data.size() > m_options.m_max_log_bytes &&
+      m_log.Bytes() > m_options.m_retained_bytes) {
+    RefuseRequest(event.m_token, ErrorCode::kUnavailable,
+                  "the log is full until a snapshot is stored");
+    return;
+  }
   AppendToLog({.m_index = m_log.LastIndex() + 1,
                .m_term = m_state.m_term,
                .m_kind = EntryKind::kCommand,
@@ -192,9 +198,8 @@
     return;
   assert(index <= m_applied_index && "a snapshot covers only applied entries");
   m_snapshot = event.m_info;
-  if (index <= m_options.m_retained_entries)
-    return;
-  const std::uint64_t base = index - m_options.m_retained_entries;
+  const std::uint64_t base = m_log.BaseWithin(
+      index, m_options.m_retained_entries, m_options.m_retained_bytes);
   m_log.CompactTo(base);
   m_membership.CompactTo(base);
 }
--- a/src/consensus/replica_replication.cc
+++ b/src/consensus/replica_replication.cc
@@ -76,14 +76,18 @@
     return;
   }
   while (progress->m_next_index <= m_log.LastIndex() &&
-         progress->m_in_flight.size() < m_options.m_max_messages_in_flight) {
+         progress->m_in_flight.size() < m_options.m_max_messages_in_flight &&
+         progress->m_bytes_in_flight < m_options.m_max_bytes_in_flight) {
     auto entries =
         m_log.Slice(progress->m_next_index, m_options.m_max_message_entries,
                     m_options.m_max_message_bytes);
-    const std::uint64_t last_index = entries.back().m_index;
+    FollowerProgress::MessageInFlight message{.m_last_index =
+                                                  entries.back().m_index};
+    for (const LogEntry& entry : entries)
+      message.m_bytes += entry.m_data.size();
     SendAppend(to, *progress, std::move(entries));
-    progress->m_next_index = last_index + 1;
-    progress->m_in_flight.push_back(last_index);
+    progress->m_next_index = message.m_last_index + 1;
+    progress->AddInFlight(message);
   }
 }
 
@@ -119,7 +123,7 @@
   if (!m_snapshot)
     return;
   progress->m_mode = SendMode::kSnapshot;
-  progress->m_in_flight.clear();
+  progress->ClearInFlight();
   progress->m_snapshot = *m_snapshot;
   progress->m_snapshot_offset = 0;
   RequestSnapshotChunk(to, progress);
--- a/src/controld/daemon.cc
+++ b/src/controld/daemon.cc
@@ -74,15 +74,25 @@
   }
 }
 
-Result<Store> OpenStore(const std::string& folder) {
+// Only whole segments are deleted, so the log on disk exceeds the entries that
+// are needed by up to one segment.
+storage::LogStoreOptions MakeStoreOptions(const ControlSettings& settings) {
+  storage::LogStoreOptions options;
+  options.m_segment_bytes =
+      std::min(options.m_segment_bytes, settings.m_log_bytes / 4);
+  return options;
+}
+
+Result<Store> OpenStore(const ControlSettings& settings) {
   const auto log_and_make_error = [](const storage::StorageError& error) {
     observe::Log(LogEventOf(error.m_fault), {{"error", error.m_message}});
     return MakeError(ErrorCode::kIo, error.m_message);
   };
-  auto disk = storage::PosixDisk::Open(folder);
+  auto disk = storage::PosixDisk::Open(settings.m_data_folder);
   if (!disk)
     return log_and_make_error(disk.error());
-  auto store = Store::Open(std::move(disk).value(), {}, RandomNumber() | 1U);
+  auto store = Store::Open(std::move(disk).value(), MakeStoreOptions(settings),
+                           RandomNumber() | 1U);
   if (!store)
     return log_and_make_error(store.error());
   return std::move(store).value();
@@ -125,7 +135,7 @@
         ErrorCode::kInvalidInput,
         "$.peers: found no peer for this host " + m_settings.m_host.m_value);
   }
-  JUJUBE_TRY(Store store, OpenStore(m_settings.m_data_folder));
+  JUJUBE_TRY(Store store, OpenStore(m_settings));
   m_service = std::make_unique<ControlService>(
       m_io, m_settings, MakeFrameOptions(m_keys.m_peer, &m_frame_counters),
       std::move(store));
--- a/src/controld/replica_runner.cc
+++ b/src/controld/replica_runner.cc
@@ -64,7 +64,8 @@
             Step(std::move(event));
           })),
       m_tick_timer(io),
-      m_snapshot_schedule(m_settings.m_snapshot_every) {}
+      m_snapshot_schedule(m_settings.m_snapshot_every,
+                          m_settings.m_log_bytes / 2) {}
 
 ReplicaRunner::~ReplicaRunner() = default;
 
@@ -451,6 +452,15 @@
   options.m_random_seed = RandomSeed();
   options.m_retained_entries = std::min<std::uint64_t>(
       options.m_retained_entries, m_settings.m_snapshot_every);
+  // The entries since the last snapshot take one half of log_bytes, those that
+  // are retained before it the other. Twice as much is held while a snapshot
+  // cannot be stored.
+  options.m_retained_bytes = m_settings.m_log_bytes / 2;
+  options.m_max_uncommitted_bytes = std::min<std::size_t>(
+      options.m_max_uncommitted_bytes, m_settings.m_log_bytes / 2);
+  options.m_max_log_bytes = 2 * m_settings.m_log_bytes;
+  options.m_max_bytes_in_flight = std::min<std::size_t>(
+      options.m_max_bytes_in_flight, m_settings.m_log_bytes / 16);
   const MonoTime now = MonoClock::now();
   m_replica.emplace(m_self, options,
                     consensus::RestoredState{
@@ -708,6 +718,7 @@
 }
 
 void ReplicaRunner::ApplyEntry(const LogEntry& entry) {
+  m_snapshot_schedule.OnApplied(entry.m_data.size());
   ProposalOutcome outcome{.m_status = ProposalStatus::kApplied};
   if (entry.m_kind == EntryKind::kCommand) {
     Result<control::CommandResult> result =
--- a/src/controld/snapshot_schedule.h
+++ b/src/controld/snapshot_schedule.h
@@ -17,8 +17,12 @@
   // A snapshot that found the disk full is tried again after this time.
   static constexpr std::chrono::milliseconds kRetryInterval{1000};
 
-  // `entries` are the log entries between two snapshots.
-  explicit SnapshotSchedule(std::uint64_t entries) : m_entries(entries) {}
+  // A snapshot is due after this many log entries, or this many bytes of them.
+  SnapshotSchedule(std::uint64_t entries, std::uint64_t bytes)
+      : m_entries(entries), m_bytes(bytes) {}
+
+  // An entry with this much data was applied.
+  void OnApplied(std::uint64_t bytes) { m_applied_bytes += bytes; }
 
   // Returns true if a snapshot has to be written now.
   bool TryStart(std::uint64_t applied_index, MonoTime now);
@@ -26,12 +30,18 @@
   void OnDiskFull(MonoTime now);
 
   // A snapshot of this index was recovered or received.
-  void OnStored(std::uint64_t index) { m_last_index = index; }
+  void OnStored(std::uint64_t index) {
+    m_last_index = index;
+    m_applied_bytes = 0;
+  }
 
  private:
   const std::uint64_t m_entries;
+  const std::uint64_t m_bytes;
+  std::uint64_t m_applied_bytes = 0;  // since the last snapshot
   std::uint64_t m_last_index = 0;     // of the last snapshot, written or not
   std::uint64_t m_written_index = 0;  // of the last one before it
+  std::uint64_t m_written_bytes = 0;  // applied between these two
   bool m_is_writing = false;
   MonoTime m_retry_at{};
 };
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -150,6 +150,11 @@
   std::uint32_t m_snapshot_every =
       4096;  // number of log entries between snapshots (from 16, at most
              // 1000000)
+  std::uint64_t m_log_bytes =
+      67108864;  // memory for log entries: a snapshot is written after half of
+                 // it, even before `snapshot_every` entries, and proposals are
+                 // refused at twice this size; the log on disk has up to the
+                 // same size (from 65536, at most 4294967296)
   LogSettings m_log;  // logging
 
   friend auto operator<=>(const ControlSettings&,
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -202,6 +202,8 @@
               value.m_election_timeout);
   reader.Read("snapshot_every", Presence::kOptional, {16, 1000000},
               value.m_snapshot_every);
+  reader.Read("log_bytes", Presence::kOptional, {65536, 4294967296},
+              value.m_log_bytes);
   reader.Read("log", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_log);
   reader.RejectUnknownKeys();
@@ -222,6 +224,7 @@
   PutJson(object, "heartbeat_ms", value.m_heartbeat);
   PutJson(object, "election_timeout_ms", value.m_election_timeout);
   PutJson(object, "snapshot_every", value.m_snapshot_every);
+  PutJson(object, "log_bytes", value.m_log_bytes);
   PutJson(object, "log", value.m_log);
   return object;
 }
--- a/tests/unit/consensus_replica_test.cc
+++ b/tests/unit/consensus_replica_test.cc
@@ -468,5 +468,65 @@
       FoundingStep::kJoin);
 }
 
+// Guards against a log that outgrows the memory of its host because it is
+// bounded by the number of entries alone.
+TEST(ConsensusReplica, LargeEntriesBeforeASnapshotAreNotRetained) {
+  Cluster cluster(1, 1, {.m_retained_entries = 100, .m_retained_bytes = 250});
+  const std::size_t leader = cluster.ElectLeader();
+  for (int i = 0; i < 10; ++i) {
+    cluster.Propose(leader, std::string(100, 'x'));
+    cluster.RunUntilIdle();
+  }
+  cluster.TakeSnapshot(leader);
+  cluster.RunUntilIdle();
+  const ReplicaStatus status = cluster.Status(leader);
+  EXPECT_EQ(status.m_last_index - status.m_first_index + 1, 2U);
+}
+
+// Guards against a log that grows without limit while no snapshot can be
+// stored.
+TEST(ConsensusReplica, FullLogRefusesProposalsUntilASnapshotIsStored) {
+  Cluster cluster(1, 1, {.m_max_log_bytes = 500, .m_retained_bytes = 100});
+  const std::size_t leader = cluster.ElectLeader();
+  const auto propose = [&] {
+    cluster.NodeAt(leader).m_refused.clear();
+    cluster.Propose(leader, std::string(100, 'x'));
+    cluster.RunUntilIdle();
+    return cluster.NodeAt(leader).m_refused.empty();
+  };
+  int accepted = 0;
+  while (accepted < 10 && propose())
+    ++accepted;
+  EXPECT_LE(accepted, 5);
+  EXPECT_GE(accepted, 4);
+  cluster.TakeSnapshot(leader);
+  cluster.RunUntilIdle();
+  EXPECT_TRUE(propose());
+}
+
+// Guards against a slow follower for which the leader holds a copy of many
+// large entries at a time.
+TEST(ConsensusReplica, BytesOnTheirWayToAFollowerAreLimited) {
+  Cluster cluster(3, 3,
+                  {.m_max_message_bytes = 100, .m_max_bytes_in_flight = 250});
+  const std::size_t leader = cluster.ElectLeader();
+  cluster.RunUntilIdle();
+  for (int i = 0; i < 10; ++i)
+    cluster.Propose(leader, std::string(100, 'x'));
+  std::size_t bytes = 0;
+  for (const Message& message : cluster.m_network) {
+    const auto* append = std::get_if<AppendRequest>(&message);
+    if (append == nullptr ||
+        append->m_to != cluster.NodeAt((leader + 1) % 3).m_id)
+      continue;
+    for (const LogEntry& entry : append->m_entries)
+      bytes += entry.m_data.size();
+  }
+  EXPECT_EQ(bytes, 300U);
+  cluster.RunUntilIdle();
+  EXPECT_EQ(cluster.Status(leader).m_commit_index,
+            cluster.Status(leader).m_last_index);
+}
+
 }  // namespace
 }  // namespace jujube::consensus
