Bound the memory for request bodies of an entry host

Cause: the whole body of a request that must not be repeated is kept, without a bound on the sum over the requests in progress, and a growing buffer takes up to twice the size of the body.

Fix: body_bytes (on the platform a quarter of memory_mb) bounds the bodies over 64 KiB of all worker threads. A body that does not fit is passed on while it arrives, with back pressure; the request cannot be sent again then. Weighed against refusing it with 503: the upload is served, at the price of an instance that waits for the rest of the body. Where the whole body is needed first (digest of a claim), the request is refused at once with 503, not run, with Retry-After. A buffer of known size is reserved at once. Smaller bodies need no reservation, so small requests go on.

The refusal in the native dialect has no test of its own.

--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -5,11 +5,13 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 
 #include "core/clock.h"
 #include "entry/serving_view.h"
 #include "gen/settings.h"
 #include "gen/types.h"
+#include "limits/limit_cell.h"
 #include "lookup/entry_host_lists.h"
 #include "observe/counter.h"
 #include "observe/gauge.h"
@@ -41,6 +43,8 @@
   // Usable slots of all services. Not part of the view, because ejections and
   // pauses of instances end without a new view.
   std::atomic<std::uint32_t> m_host_cap = 0;
+  // Memory for request bodies of all worker threads (EntrySettings).
+  const std::shared_ptr<limits::LimitCell> m_body_bytes;
   std::atomic<std::uint64_t> m_next_claim_attempt = 1;  // numbers claims
 
   observe::SpanExporter m_spans;  // thread-safe
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -64,6 +64,12 @@
       net::HttpExchange& exchange,
       Request& request);
   // Returns true if the claim was granted; otherwise the response is sent.
+  Refusal RefuseBody(Request& request, std::string reason);
+  static boost::asio::awaitable<Status> ReadBeginning(
+      net::HttpExchange& exchange,
+      std::string* beginning);
+  // Reserves memory for a large body. False if there is none.
+  bool TryReserveBody(Request& request, std::uint64_t content_length) const;
   boost::asio::awaitable<bool> AcquireClaim(net::HttpExchange& exchange,
                                             Request& request);
   boost::asio::awaitable<void> Forward(net::HttpExchange& exchange,
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -5,6 +5,7 @@
 #include "entry/forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -145,6 +146,7 @@
   Verdict m_verdict = Verdict::kNotRun;  // combined over all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
+  limits::Permit m_body_permit;  // memory of a large buffered body
   // Error response of an upstream, sent if no later attempt succeeds.
   std::optional<AttemptResult> m_fallback;
   SpanScope m_span;  // span of the request
@@ -393,26 +395,80 @@
     co_return std::nullopt;
   const std::uint64_t content_length =
       head.m_content_length.value_or(UINT64_MAX);
-  const bool is_buffered =
-      !request.m_is_repeatable ||
+  const bool is_small =
       content_length <= forwarder_internal::kMaxBufferedBodyBytes;
-  if (!is_buffered) {
+  if (!is_small && request.m_is_repeatable) {
     outgoing.m_is_body_streamed = true;
     co_return std::nullopt;
   }
-  Result<std::string> body =
-      co_await exchange.ReadAll(request.m_service.m_max_body_bytes);
-  if (!body) {
-    m_metrics.CountRefusal(RefusalCause::kBadBody);
-    request.m_verdict = request.VerdictWithoutClaim();
-    co_return Refusal{.m_status = 413,
-                      .m_verdict = request.m_verdict,
-                      .m_reason = body.error().m_message};
+  std::string beginning;
+  if (!head.m_content_length) {
+    const Status read = co_await ReadBeginning(exchange, &beginning);
+    if (!read)
+      co_return RefuseBody(request, read.error().m_message);
   }
-  outgoing.m_body = std::move(body).value();
+  if (!is_small && !exchange.IsBodyRead() &&
+      !TryReserveBody(request, content_length)) {
+    if (D::kUsesClaims) {
+      m_metrics.CountRefusal(RefusalCause::kNoMemory);
+      request.m_verdict = request.VerdictWithoutClaim();
+      co_return Refusal{.m_verdict = request.m_verdict,
+                        .m_reason = "no memory for the request body",
+                        .m_retry_after = forwarder_internal::kRetryAfter};
+    }
+    // The instance waits for the rest of the body, and the request cannot be
+    // sent again, which is better for the caller than a refusal.
+    outgoing.m_body = std::move(beginning);
+    outgoing.m_is_body_streamed = true;
+    co_return std::nullopt;
+  }
+  const std::size_t max_bytes = request.m_service.m_max_body_bytes;
+  Result<std::string> body = co_await exchange.ReadAll(
+      max_bytes - std::min(max_bytes, beginning.size()));
+  if (!body)
+    co_return RefuseBody(request, body.error().m_message);
+  outgoing.m_body =
+      beginning.empty() ? std::move(body).value() : beginning + body.value();
   co_return std::nullopt;
 }
 
+template <Dialect D, steering::SelectionPolicy P>
+Refusal Forwarder<D, P>::RefuseBody(Request& request, std::string reason) {
+  m_metrics.CountRefusal(RefusalCause::kBadBody);
+  request.m_verdict = request.VerdictWithoutClaim();
+  return {.m_status = 413,
+          .m_verdict = request.m_verdict,
+          .m_reason = std::move(reason)};
+}
+
+// Reads as much of a body of unknown size as is kept without a reservation.
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<Status> Forwarder<D, P>::ReadBeginning(
+    net::HttpExchange& exchange,
+    std::string* beginning) {
+  std::array<char, attempt_internal::kChunkBytes> chunk{};
+  while (beginning->size() < forwarder_internal::kMaxBufferedBodyBytes) {
+    JUJUBE_CO_TRY(const std::size_t count, co_await exchange.ReadSome(chunk));
+    if (count == 0)
+      break;
+    beginning->append(chunk.data(), count);
+  }
+  co_return Success();
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::TryReserveBody(Request& request,
+                                     std::uint64_t content_length) const {
+  // A body that is too large is refused before it is read, and one of unknown
+  // size once it exceeds the limit.
+  const std::uint64_t bytes = std::min<std::uint64_t>(
+      content_length, request.m_service.m_max_body_bytes);
+  if (!m_shared.m_body_bytes->TryAcquire(bytes, MonoClock::now()))
+    return false;
+  request.m_body_permit = limits::Permit(m_shared.m_body_bytes, bytes);
+  return true;
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 asio::awaitable<bool> Forwarder<D, P>::AcquireClaim(net::HttpExchange& exchange,
                                                     Request& request) {
--- a/src/entry/request_metrics.cc
+++ b/src/entry/request_metrics.cc
@@ -12,6 +12,8 @@
       return "bad_key";
     case RefusalCause::kBadBody:
       return "body";
+    case RefusalCause::kNoMemory:
+      return "no_memory";
     case RefusalCause::kClaimNotGranted:
       return "claim";
     case RefusalCause::kNoSlot:
--- a/src/entry/request_metrics.h
+++ b/src/entry/request_metrics.h
@@ -25,6 +25,7 @@
   kNoService,        // the deployment has no such service
   kBadKey,           // Idempotency-Key is missing or malformed
   kBadBody,          // too large or truncated
+  kNoMemory,         // no memory for the body
   kClaimNotGranted,  // the claim was not granted
   kNoSlot,           // no instance had a free slot at selection
 };
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -81,6 +81,11 @@
       false;  // `control` lists only seeds, from which the other control hosts
               // are discovered; upstreams announce themselves to the control
               // hosts
+  std::uint64_t m_body_bytes =
+      268435456;  // memory for the bodies of requests in progress that are
+                  // larger than 64 KiB; bodies beyond it are passed on while
+                  // they arrive, or refused if the whole body is needed first
+                  // (from 1048576, at most 17179869184)
   std::uint16_t m_worker_threads =
       2;  // number of threads that handle requests (from 1, at most 64)
   std::uint16_t m_pool_per_instance =
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -103,6 +103,8 @@
               {std::nullopt, std::nullopt}, value.m_deployment_file);
   reader.Read("discovers_control", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_discovers_control);
+  reader.Read("body_bytes", Presence::kOptional, {1048576, 17179869184},
+              value.m_body_bytes);
   reader.Read("worker_threads", Presence::kOptional, {1, 64},
               value.m_worker_threads);
   reader.Read("pool_per_instance", Presence::kOptional, {1, 400},
@@ -139,6 +141,7 @@
   PutJson(object, "operator_key_file", value.m_operator_key_file);
   PutJson(object, "deployment_file", value.m_deployment_file);
   PutJson(object, "discovers_control", value.m_discovers_control);
+  PutJson(object, "body_bytes", value.m_body_bytes);
   PutJson(object, "worker_threads", value.m_worker_threads);
   PutJson(object, "pool_per_instance", value.m_pool_per_instance);
   PutJson(object, "drain_limit_ms", value.m_drain_limit);
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -170,6 +170,8 @@
   if (m_state.m_head.m_content_length.value_or(0) > max_bytes)
     co_return too_large();
   std::string body;
+  // Without this, a body takes up to twice its size while it is read.
+  body.reserve(m_state.m_head.m_content_length.value_or(0));
   std::array<char, 16384> chunk{};
   while (true) {
     const Result<std::size_t> count = co_await ReadSome(chunk);
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -97,6 +97,9 @@
   return R"({"version":)" + std::to_string(number) +
          R"(,"routes":[{"name":"r","host":"a.example","path_prefix":"/p/",)"
          R"("kind":"repeatable","timeout_s":5,"target_latency_s":1,)"
+         R"("priority":0,"service":"s","max_attempts":2},)"
+         R"({"name":"q","host":"a.example","path_prefix":"/q/",)"
+         R"("kind":"at_most_once","timeout_s":60,"target_latency_s":1,)"
          R"("priority":0,"service":"s","max_attempts":2}],)"
          R"("services":[{"name":"s","max_connections":10}],"limits":{}})";
 }
@@ -117,12 +120,15 @@
   FixedResponseUpstream(const FixedResponseUpstream&) = delete;
   FixedResponseUpstream& operator=(const FixedResponseUpstream&) = delete;
 
+  int Requests() const { return m_requests; }  // whose head was received
+
  private:
   void Serve() {
     while (!m_is_stopped) {
       const RawSocket socket = m_listener.Accept();
       if (!socket.ReadUntil("\r\n\r\n"))
         continue;
+      ++m_requests;
       socket.Send(
           "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nConnection: close\r\n"
           "Content-Length: 4\r\n\r\nfuel");
@@ -132,6 +138,7 @@
   const Endpoint m_endpoint;
   RawSocket m_listener;
   std::atomic<bool> m_is_stopped = false;
+  std::atomic<int> m_requests = 0;
   std::thread m_thread;
 };
 
@@ -162,7 +169,8 @@
            R"(],"zones":{"z":"r"},"bootstrap":)" +
            (is_first_start ? "true" : "false") + R"(,"data_dir":")" + folder +
            R"(","heartbeat_s":0.3,"bounds":{"grace_s":6},)"
-           R"("fault_tolerance":{"machines":2},"listen":{"control":)" +
+           R"("fault_tolerance":{"machines":2},"limits":{"memory_mb":)" +
+           std::to_string(m_memory_mb) + R"(},"listen":{"control":)" +
            quoted_endpoint(kControlPort) +
            ",\"directory\":" + quoted_endpoint(kDirectoryPort) +
            ",\"front\":" + quoted_endpoint(kRequestPort) +
@@ -246,6 +254,7 @@
   }
 
   TempFolder m_folder;
+  int m_memory_mb = 256;
   std::map<std::size_t, std::unique_ptr<ChildProcess>> m_hosts;
 };
 
@@ -461,6 +470,48 @@
   EXPECT_EQ(m_hosts.at(kEntryHost)->Wait(), 0);
 }
 
+// Guards against concurrent uploads that together exceed the memory of an entry
+// host: with room for one of two bodies, the other is passed on while it
+// arrives.
+TEST_F(DiscoveryTest, UploadsBeyondTheMemoryForBodiesAreNotKept) {
+  m_memory_mb = 4;  // 1 MiB for bodies
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  const Endpoint endpoint{.m_address = AddressOf(kUpstreamHost),
+                          .m_port = 8080};
+  const FixedResponseUpstream upstream(endpoint);
+  EXPECT_EQ(Call({.m_address = AddressOf(2), .m_port = kControlPort},
+                 "POST /upstreams/i-1/announce", "",
+                 R"({"service":"s","address":")" + ToText(endpoint) +
+                     R"(","zone":"z","slots":3,"state":"serving",)"
+                     R"("cold_left_s":0,"sequence":1,"born":5})")
+                .m_status,
+            200);
+  const Endpoint entry{.m_address = AddressOf(kEntryHost),
+                       .m_port = kRequestPort};
+  WaitUntil("a request is served", [&] {
+    return Call(entry, "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n")
+               .m_status == 200;
+  });
+  const int earlier_requests = upstream.Requests();
+  constexpr std::size_t kBodyBytes = 1U << 20U;
+  std::vector<RawSocket> uploads;
+  for (const std::string id : {"78", "79"}) {
+    uploads.push_back(RawSocket::Connect(entry));
+    uploads.back().Send(
+        "POST /q/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
+        "\r\nDeadline-Ms: 60000\r\nContent-Length: " +
+        std::to_string(kBodyBytes) + "\r\n\r\n" +
+        std::string(kBodyBytes / 16, 'x'));
+  }
+  WaitUntil("one of them is passed on",
+            [&] { return upstream.Requests() > earlier_requests; });
+  // Long enough for the other one to be passed on as well.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(upstream.Requests(), earlier_requests + 1);
+}
+
 // The answer of an entry host to a look-up.
 Answer LookUpAt(std::size_t host) {
   return Call({.m_address = AddressOf(host), .m_port = kDirectoryPort},
