Give upstreams time to reach a new leader before they count as silent

Cause: only the leader hears renewals of an upstream that announces itself to the leader. When that host is lost, an upstream waits up to a second for each host that it tries; in the trace, announcements stop at 37 s and most upstreams are heard again between 39 s and 45 s.

Evidence: with each announcement logged, nobody received one of the marked upstreams in between, so they were not lost between control hosts.

Fix: a new leader counts silence from four announcement intervals after its election. Entry hosts notice an upstream that is gone by its connections, as before.

--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "controld/instance_silence.h"
 #include "membership/known_sender.h"
 #include "observe/log.h"
 
@@ -29,10 +30,6 @@
 // required for the leave of an upstream.
 constexpr milliseconds kEntryHostTimeout{1700};
 
-// Announcement intervals without an announcement after which an upstream is
-// silent. Entry hosts notice a failed connection much earlier.
-constexpr int kMaxMissedAnnouncements = 4;
-
 // An entry host that is silent for longer is removed.
 constexpr milliseconds kEntryHostRetention{60000};
 
@@ -140,14 +137,16 @@
 }
 
 void DiscoveryService::MarkSilentInstances(MonoTime now) {
-  const auto silence_timeout =
-      kMaxMissedAnnouncements * m_options.m_announcement_interval;
-  if (!m_leading_since || now - *m_leading_since < silence_timeout)
+  if (!m_leading_since)
     return;
   for (const membership::Member& member : m_registry.Snapshot().m_members) {
     Announcement announcement = member.m_announcement;
+    const InstanceContact contact{
+        .m_sent_at = member.m_sent_at,
+        .m_leading_since = *m_leading_since,
+        .m_announcement_interval = m_options.m_announcement_interval};
     if (announcement.m_state != UpstreamState::kServing ||
-        now - member.m_sent_at < silence_timeout)
+        !IsSilent(contact, now))
       continue;
     observe::Log(LogEvent::kInstanceSilent,
                  {{"service", announcement.m_service.m_value},
