--- a/src/consensus/membership_plan.cc
+++ b/src/consensus/membership_plan.cc
@@ -81,13 +81,13 @@
   // Without a majority, no change can be committed.
   if (CountHeardVoters(facts) < MajorityOf(facts.m_members.m_voters.size()))
     return std::nullopt;
-  if (const auto removal = RemoveSurplusVoter(facts))
+  if (auto removal = RemoveSurplusVoter(facts))
     return removal;
   for (const VoterId& learner : facts.m_members.m_learners) {
     if (!Contains(facts.m_caught_up, learner) ||
         !Contains(facts.m_heard, learner))
       continue;
-    if (const auto change = PlanForLearner(facts, learner))
+    if (auto change = PlanForLearner(facts, learner))
       return change;
   }
   return std::nullopt;
@@ -106,9 +106,9 @@
 }  // namespace
 
 std::optional<MembershipChange> PlanMembership(const MembershipFacts& facts) {
-  if (const auto removal = RemoveLostLearner(facts))
+  if (auto removal = RemoveLostLearner(facts))
     return removal;
-  if (const auto change = PlanVoters(facts))
+  if (auto change = PlanVoters(facts))
     return change;
   return AddLearner(facts);
 }
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -64,7 +64,7 @@
       net::HttpExchange& exchange,
       Request& request);
   // Returns true if the claim was granted; otherwise the response is sent.
-  Refusal RefuseBody(Request& request, std::string reason);
+  Refusal RefuseBody(Request& request, const std::string& reason);
   static boost::asio::awaitable<Status> ReadBeginning(
       net::HttpExchange& exchange,
       std::string* beginning);
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -433,12 +433,11 @@
 }
 
 template <Dialect D, steering::SelectionPolicy P>
-Refusal Forwarder<D, P>::RefuseBody(Request& request, std::string reason) {
+Refusal Forwarder<D, P>::RefuseBody(Request& request,
+                                    const std::string& reason) {
   m_metrics.CountRefusal(RefusalCause::kBadBody);
   request.m_verdict = request.VerdictWithoutClaim();
-  return {.m_status = 413,
-          .m_verdict = request.m_verdict,
-          .m_reason = std::move(reason)};
+  return {.m_status = 413, .m_verdict = request.m_verdict, .m_reason = reason};
 }
 
 // Reads as much of a body of unknown size as is kept without a reservation.
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -341,8 +341,8 @@
   StartControlHosts();
   PutUntilAccepted(3, 0);
   const auto put = [](std::size_t host, int number, const std::string& base) {
-    return CallControl(0, "POST", "/document", "Base-Version: " + base + "\r\n",
-                       DocumentText(number))
+    return CallControl(host, "POST", "/document",
+                       "Base-Version: " + base + "\r\n", DocumentText(number))
         .m_status;
   };
   EXPECT_EQ(put(1, 5, "3"), 200);
--- a/tests/process/faulty_upstream_test.cc
+++ b/tests/process/faulty_upstream_test.cc
@@ -107,6 +107,24 @@
   instance.get();
 }
 
+// Guards against the framing of a body without end, which is no data that could
+// be passed on, and would be kept until the deadline.
+TEST_F(FaultyUpstream, EndlessFramingOfABodyIsCutOff) {
+  for (const std::string begin :
+       {"4;extension=", "4\r\nfuel\r\n0\r\nTrailer: "}) {
+    auto instance = std::async(std::launch::async, [&] {
+      const RawSocket connection = AcceptRequest();
+      connection.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      begin + std::string(kEndlessBytes, 'x'));
+      connection.ReadToEnd();
+    });
+    const RawSocket caller = ConnectCaller();
+    SendGet(caller, "/x");
+    EXPECT_TRUE(caller.ReadUntil("Jujube-Verdict: may-have-run")) << begin;
+    instance.get();
+  }
+}
+
 // Guards against a response without end that is forwarded beyond the deadline,
 // because bytes are available whenever the entry host reads.
 TEST_F(FaultyUpstream, EndlessBodyEndsAtTheDeadline) {
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 async def kill_control(soak, rng):
     host = rng.choice(soak.system.controls)
     async with soak.control_outage(host):
+        if host not in soak.system.controls:
+            return
         await host.kill()
         if rng.random() < 0.5:
             host.append_partial_record(rng.randrange(1, 12))
@@ -32,12 +34,47 @@
     """Restarts a control host with an empty data folder; it has to join and catch up."""
     host = rng.choice(soak.system.controls)
     async with soak.control_outage(host):
+        if host not in soak.system.controls:
+            return
         await host.kill()
         host.delete_data()
         host.start(False)
         await soak.wait_until_member(host)
 
 
+async def replace_control(soak, rng):
+    """Removes a control host for good; its successor starts a moment later."""
+    old = rng.choice(soak.system.controls)
+    async with soak.control_outage(old):
+        if old not in soak.system.controls:
+            return
+        await old.kill()
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+        await soak.start_successor(old)
+
+
+async def replace_control_as_planned(soak, rng):
+    """Starts the successor first, then stops the old host with SIGTERM."""
+    old = rng.choice(soak.system.controls)
+    async with soak.control_outage(old):
+        if old not in soak.system.controls:
+            return
+        await soak.start_successor(old)
+        await asyncio.sleep(2.0)
+        await old.terminate()
+
+
+async def stop_leader(soak, rng):
+    leader = await soak.find_leader()
+    if leader is None:
+        return
+    async with soak.control_outage(leader):
+        if leader in soak.system.controls:
+            await leader.terminate()
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            leader.start(False)
+
+
 async def kill_all_controls(soak, rng):
     async with soak.all_controls_locked():
         for host in soak.system.controls:
@@ -55,6 +92,8 @@
     host = rng.choice(soak.system.hosts())
     guard = soak.control_outage(host) if host.role == "control" else soak.locked(host)
     async with guard:
+        if host not in soak.system.hosts():
+            return
         host.freeze()
         await asyncio.sleep(rng.uniform(0.2, 5.0))
         host.resume()
@@ -114,6 +153,8 @@
 async def stop_control(soak, rng):
     host = rng.choice(soak.system.controls)
     async with soak.control_outage(host):
+        if host not in soak.system.controls:
+            return
         await host.terminate()
         host.start(False)
         await asyncio.sleep(1.0)
@@ -124,6 +165,15 @@
     rng.choice(soak.system.hosts()).signal(signal.SIGHUP)
 
 
-PLANNED = [drain_upstream, stop_entry, reload]
+async def change_seeds(soak, rng):
+    """Planned: the settings of all hosts name other seeds; running ones get SIGHUP."""
+    soak.system.seeds = rng.sample(soak.system.controls, 3)
+    for host in soak.system.hosts():
+        host.write_settings(False)
+        host.signal(signal.SIGHUP)
+
+
+PLANNED = [drain_upstream, stop_entry, reload, change_seeds]
 UNPLANNED = [kill_entry, kill_control, lose_disk, kill_all_controls, freeze, disturb_link,
-             disturb_link, reset_connections, crash_upstream, fail_upstream, stop_control]
+             disturb_link, reset_connections, crash_upstream, fail_upstream, stop_control,
+             stop_leader, replace_control, replace_control_as_planned]
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -42,6 +42,8 @@
             if answer is None or answer.status != 307:
                 return answer
             endpoint = self.soak.control_by_location(answer.headers["location"])
+            if endpoint is None:
+                return None
         return None
 
     async def put(self, number, base, author):
@@ -59,11 +61,11 @@
     async def run(self):
         while not self.soak.is_over():
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
-            await self._apply_next()
+            await self.apply_next()
             await self._read_document()
             await self._probe_newest_route()
 
-    async def _apply_next(self):
+    async def apply_next(self):
         base = self.soak.ledger.acknowledged
         number = base + self.random.randrange(1, 4)
         if self.random.random() < 0.3:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,7 @@
 CONTROLS = 5
 MAX_CONTROL_OUTAGES = 2  # control hosts that may be unavailable at the same time
 HANG_LIMIT_S = 120  # limit of each wait for service; far above what a busy machine needs
+PORT_OFFSET = 1000  # from the port of a host to the port of its relay
 CATCH_UP_S = 4  # after the restart of a control host, before the next outage
 
 
@@ -78,9 +79,10 @@
 
     def control_by_location(self, location):
         address = re.search(r"//([0-9.]+)", location).group(1)
-        index = next(i for i, host in enumerate(self.system.controls)
-                     if host.address == address)
-        return self.control_endpoints[index]
+        for host, endpoint in zip(self.system.controls, self.control_endpoints):
+            if host.address == address:
+                return endpoint
+        return None  # the host was replaced
 
     @contextlib.asynccontextmanager
     async def locked(self, host):
@@ -97,10 +99,36 @@
     @contextlib.asynccontextmanager
     async def all_controls_locked(self):
         async with contextlib.AsyncExitStack() as stack:
-            for host in self.system.controls:
-                await stack.enter_async_context(self.locked(host))
+            # A host may be replaced while the locks of the others are taken.
+            locked = set()
+            while missing := [host for host in self.system.controls if host.name not in locked]:
+                await stack.enter_async_context(self.locked(missing[0]))
+                locked.add(missing[0].name)
             yield
 
+    async def start_successor(self, old):
+        """Starts the successor of a control host, which takes its place in all lists."""
+        new = self.system.make_successor(old)
+        self._host_locks[new.name] = asyncio.Lock()
+        index = self.system.controls.index(old)
+        for port, endpoints in ((CONTROL, self.control_endpoints),
+                                (DIRECTORY, self.directory_endpoints)):
+            proxy = await self._add_proxy((new.address, port + PORT_OFFSET), (new.address, port))
+            endpoints[index] = proxy.listen
+        new.start(False)
+        self.system.controls[index] = new
+        self.system.seeds = self.system.controls[:3]
+        self.system.removed.append(old)
+        return new
+
+    async def find_leader(self):
+        """The control host that answers a read itself instead of naming another one."""
+        for host in list(self.system.controls):
+            answer = await call((host.address, CONTROL), "GET /document", {})
+            if answer is not None and answer.status == 200:
+                return host
+        return None
+
     async def wait_until_member(self, host):
         """Waits until the host answers directory look-ups, the time limit or the end of the run."""
         deadline = time.monotonic() + HANG_LIMIT_S
@@ -145,6 +173,8 @@
             await self._set_up()
             await self._run_workload()
             await self._recover()
+            if not self.options.planned_only:
+                await self._lose_disks()
             self._check_leader_per_term()
         finally:
             self._is_shutting_down = True
@@ -159,16 +189,15 @@
             await asyncio.sleep(0.2)
 
     async def _set_up(self):
-        port_offset = 1000  # from the port of a host to the port of its relay
         for host in self.system.controls:
             for port, endpoints in ((CONTROL, self.control_endpoints),
                                     (DIRECTORY, self.directory_endpoints)):
-                proxy = await self._add_proxy((host.address, port + port_offset),
+                proxy = await self._add_proxy((host.address, port + PORT_OFFSET),
                                               (host.address, port))
                 endpoints.append(proxy.listen)
         for host in self.system.entries:
             self._entry_proxies[host.name] = await self._add_proxy(
-                (host.address, REQUESTS + port_offset), (host.address, REQUESTS))
+                (host.address, REQUESTS + PORT_OFFSET), (host.address, REQUESTS))
         self._end = time.monotonic() + HANG_LIMIT_S
         self.operators = Operators(self, self.options.seed)
         if await self.operators.put(1, 0, "a") != 200:
@@ -243,10 +272,30 @@
                 return
             await asyncio.sleep(0.2)
 
+    async def _lose_disks(self):
+        """As many disks as may be lost at once are lost right after an acknowledgement."""
+        await asyncio.sleep(CATCH_UP_S)
+        await self.operators.apply_next()
+        rng = random.Random(f"{self.options.seed}/disks")
+        lost = rng.sample(self.system.controls, MAX_CONTROL_OUTAGES)
+        for host in lost:
+            await host.kill()
+            host.delete_data()
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+        for host in lost:
+            host.start(False)
+        deadline = time.monotonic() + HANG_LIMIT_S
+        while not await self.operators.is_newest_read_back():
+            if time.monotonic() > deadline:
+                self.ledger.report("lost configuration after the loss of disks",
+                                   self.ledger.acknowledged)
+                return
+            await asyncio.sleep(0.2)
+
     def _check_leader_per_term(self):
         """Checks in the logs of the control hosts that each term has at most one leader."""
         leaders = {}
-        for host in self.system.controls:
+        for host in self.system.controls + self.system.removed:
             log = (self.system.folder / f"{host.name}.log").read_text(errors="replace")
             for term in re.findall(r" BecameLeader .*?term=(\d+)", log):
                 leaders.setdefault(int(term), set()).add(host.name)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -16,19 +16,19 @@
 class Host:
     """A control or entry host, which runs one jujube-platform process."""
 
-    def __init__(self, system, role, index):
+    def __init__(self, system, role, index, zone=None):
         self.system = system
         self.role = role
         self.name = f"{role}-{index}"
-        self.address = system.address(10 + index if role == "control" else 40 + index)
-        self.zone = list(ZONES)[index % len(ZONES)]
+        self.address = system.address(10 + index if role == "control" else 210 + index)
+        self.zone = zone or list(ZONES)[index % len(ZONES)]
         self.data = system.folder / f"data-{self.name}"
         self.process = None
         self.is_exit_expected = False  # the soak sent a signal that ends the process
         self.is_frozen = False
 
-    def start(self, is_first):
-        self.data.mkdir(exist_ok=True)
+    def write_settings(self, is_first):
+        """Writes the settings with the seeds of this moment and returns the path."""
         settings = self.system.folder / f"{self.name}.json"
         listen_addresses = {name: f"{self.address}:{port}" for name, port in (
             ("control", CONTROL), ("directory", DIRECTORY),
@@ -36,9 +36,15 @@
         settings.write_text(json.dumps({
             "node_name": self.name, "zone": self.zone, "ip": self.address,
             "inner_port_range": [PEER, PEER + 15], "zones": ZONES, "bootstrap": is_first,
-            "seeds": [f"{self.system.address(10 + i)}:{CONTROL}" for i in range(3)],
+            "seeds": [f"{host.address}:{CONTROL}" for host in self.system.seeds],
+            "fault_tolerance": {"machines": 2}, "limits": {"memory_mb": 256},
             "data_dir": str(self.data), "heartbeat_s": 0.3, "listen": listen_addresses,
             "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "retry_budget_slack": 60}}))
+        return settings
+
+    def start(self, is_first):
+        self.data.mkdir(exist_ok=True)
+        settings = self.write_settings(is_first)
         # No program can handle a SIGHUP that arrives before its first instruction. The process
         # inherits the block and ends it once it handles the signal.
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
@@ -98,10 +104,19 @@
         self._base = os.getpid() % 60000
         self.controls = [Host(self, "control", i) for i in range(controls)]
         self.entries = [Host(self, "entry", i) for i in range(entries)]
+        self.seeds = self.controls[:3]  # named by settings that are written now
+        self.removed = []  # control hosts that were replaced
+        self._next_control = controls
 
     def address(self, host):
         return f"127.{100 + self._base // 256 % 100}.{self._base % 256}.{host}"
 
+    def make_successor(self, old):
+        """A control host at another address, with an empty disk, in the zone of the old one."""
+        index = self._next_control
+        self._next_control += 1
+        return Host(self, "control", index, old.zone)
+
     def hosts(self):
         return self.controls + self.entries
 
--- a/tests/unit/consensus_membership_plan_test.cc
+++ b/tests/unit/consensus_membership_plan_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<VoterId> Hosts(const std::vector<int>& numbers) {
   std::vector<VoterId> hosts;
+  hosts.reserve(numbers.size());
   for (const int number : numbers)
     hosts.push_back(Host(number));
   return hosts;
@@ -21,13 +22,13 @@
 
 // All learners have caught up.
 MembershipFacts Facts(std::vector<VoterId> voters,
-                      std::vector<VoterId> learners,
+                      const std::vector<VoterId>& learners,
                       std::vector<VoterId> heard,
                       std::vector<VoterId> silent = {}) {
   return {.m_members = {.m_voters = std::move(voters), .m_learners = learners},
           .m_heard = std::move(heard),
           .m_silent = std::move(silent),
-          .m_caught_up = std::move(learners),
+          .m_caught_up = learners,
           .m_full_voters = kFullVoters};
 }
 
