--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -423,8 +423,12 @@
     co_return std::nullopt;
   }
   const std::size_t max_bytes = request.m_service.m_max_body_bytes;
-  Result<std::string> body = co_await exchange.ReadAll(
-      max_bytes - std::min(max_bytes, beginning.size()));
+  if (beginning.size() > max_bytes) {
+    co_return RefuseBody(request, "the body is larger than " +
+                                      std::to_string(max_bytes) + " bytes");
+  }
+  Result<std::string> body =
+      co_await exchange.ReadAll(max_bytes - beginning.size());
   if (!body)
     co_return RefuseBody(request, body.error().m_message);
   outgoing.m_body =
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -240,6 +240,27 @@
     });
   }
 
+  static Endpoint UpstreamEndpoint() {
+    return {.m_address = AddressOf(kUpstreamHost), .m_port = 8080};
+  }
+
+  // Announces the upstream and waits until the entry host sends it requests.
+  static void WaitUntilServed() {
+    EXPECT_EQ(
+        Call({.m_address = AddressOf(2), .m_port = kControlPort},
+             "POST /upstreams/i-1/announce", "",
+             R"({"service":"s","address":")" + ToText(UpstreamEndpoint()) +
+                 R"(","zone":"z","slots":3,"state":"serving",)"
+                 R"("cold_left_s":0,"sequence":1,"born":5})")
+            .m_status,
+        200);
+    WaitUntil("a request is served", [] {
+      return Call({.m_address = AddressOf(kEntryHost), .m_port = kRequestPort},
+                  "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n")
+                 .m_status == 200;
+    });
+  }
+
   // Returns true if the logs of all hosts together contain at least `count`
   // promotions to voter (step=1).
   bool HasPromotions(std::size_t count) const {
@@ -478,22 +499,10 @@
   StartControlHosts();
   Start(kEntryHost);
   PutUntilAccepted(3, 0);
-  const Endpoint endpoint{.m_address = AddressOf(kUpstreamHost),
-                          .m_port = 8080};
-  const FixedResponseUpstream upstream(endpoint);
-  EXPECT_EQ(Call({.m_address = AddressOf(2), .m_port = kControlPort},
-                 "POST /upstreams/i-1/announce", "",
-                 R"({"service":"s","address":")" + ToText(endpoint) +
-                     R"(","zone":"z","slots":3,"state":"serving",)"
-                     R"("cold_left_s":0,"sequence":1,"born":5})")
-                .m_status,
-            200);
+  const FixedResponseUpstream upstream(UpstreamEndpoint());
+  WaitUntilServed();
   const Endpoint entry{.m_address = AddressOf(kEntryHost),
                        .m_port = kRequestPort};
-  WaitUntil("a request is served", [&] {
-    return Call(entry, "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n")
-               .m_status == 200;
-  });
   const int earlier_requests = upstream.Requests();
   constexpr std::size_t kBodyBytes = 1U << 20U;
   std::vector<RawSocket> uploads;
@@ -512,6 +521,36 @@
   EXPECT_EQ(upstream.Requests(), earlier_requests + 1);
 }
 
+// Guards against a body of unknown size that is passed on although it is larger
+// than the limit.
+TEST_F(DiscoveryTest, ChunkedBodyOverTheLimitIsRefused) {
+  StartControlHosts();
+  Start(kEntryHost);
+  PutUntilAccepted(3, 0);
+  const FixedResponseUpstream upstream(UpstreamEndpoint());
+  WaitUntilServed();
+  const std::string small_limit = R"("limits":{"max_body_bytes":1000})";
+  std::string document = DocumentText(4);
+  document.replace(document.find(R"("limits":{})"), 11, small_limit);
+  EXPECT_EQ(CallControl(0, "POST", "/document", "Base-Version: 3\r\n", document)
+                .m_status,
+            200);
+  const auto status_of_upload = [](const std::string& body_size) {
+    const RawSocket socket = RawSocket::Connect(
+        {.m_address = AddressOf(kEntryHost), .m_port = kRequestPort});
+    socket.Send(
+        "POST /q/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 77\r\n"
+        "Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n"
+        "Connection: close\r\n\r\n" +
+        body_size + "\r\n" +
+        std::string(std::stoul(body_size, nullptr, 16), 'x') + "\r\n0\r\n\r\n");
+    return socket.ReadToEnd().substr(0, 12);
+  };
+  WaitUntil("the limit is in force",
+            [&] { return status_of_upload("3e9") == "HTTP/1.1 413"; });
+  EXPECT_EQ(status_of_upload("3e8"), "HTTP/1.1 200");
+}
+
 // The answer of an entry host to a look-up.
 Answer LookUpAt(std::size_t host) {
   return Call({.m_address = AddressOf(host), .m_port = kDirectoryPort},
