--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "config/prefix.h"
+#include "tenants/credential.h"
 
 namespace jujube::config {
 
@@ -14,6 +15,10 @@
 
 constexpr std::size_t kMaxMethodBytes = 32;
 
+// Bounds the size of a document, which is sent whole to each entry host, and
+// the memory of its keys there.
+constexpr std::size_t kMaxKeys = 100000;
+
 std::string Quoted(std::string_view text) {
   return "\"" + std::string(text) + "\"";
 }
@@ -32,6 +37,7 @@
     CheckEntryHosts();
     CheckServices();
     CheckRoutes();
+    CheckTenants();
     CheckBlocks();
     return std::move(m_problems);
   }
@@ -204,14 +210,55 @@
                "one route per host name and prefix");
       }
       CheckRouteServices(path, route);
-      const JsonPath regions_path(path, "allowed_regions");
-      for (std::size_t j = 0; j < route.m_allowed_regions.size(); ++j) {
-        const std::string& region = route.m_allowed_regions[j].m_value;
-        if (!m_region_names.contains(region)) {
-          Report(JsonPath(regions_path, j), Quoted(region),
-                 "the name of a region in this document");
+      CheckAllowedRegions(path, route.m_allowed_regions);
+    }
+  }
+
+  void CheckAllowedRegions(const JsonPath& object,
+                           const std::vector<RegionId>& regions) {
+    const JsonPath list_path(object, "allowed_regions");
+    for (std::size_t i = 0; i < regions.size(); ++i) {
+      const std::string& region = regions[i].m_value;
+      if (!m_region_names.contains(region)) {
+        Report(JsonPath(list_path, i), Quoted(region),
+               "the name of a region in this document");
+      }
+    }
+  }
+
+  // Problems never contain a key, because they are logged and printed.
+  void CheckTenants() {
+    const JsonPath list_path(m_root, "tenants");
+    Names names;
+    std::set<std::string_view> keys;
+    for (std::size_t i = 0; i < m_deployment.m_tenants.size(); ++i) {
+      const Tenant& tenant = m_deployment.m_tenants[i];
+      const JsonPath path(list_path, i);
+      const std::string& name = tenant.m_name.m_value;
+      AddUniqueName(path, name, names);
+      if (!tenants::IsValidKey(name)) {
+        Report(JsonPath(path, "name"), Quoted(name),
+               "1 to 256 visible ASCII characters");
+      }
+      const JsonPath keys_path(path, "keys");
+      for (std::size_t j = 0; j < tenant.m_keys.size(); ++j) {
+        const std::string& key = tenant.m_keys[j];
+        if (!tenants::IsValidKey(key)) {
+          Report(JsonPath(keys_path, j),
+                 "a key of " + std::to_string(key.size()) +
+                     " bytes of tenant " + Quoted(name),
+                 "1 to 256 visible ASCII characters");
+        } else if (!keys.insert(key).second) {
+          Report(JsonPath(keys_path, j),
+                 "a key of tenant " + Quoted(name) + " more than once",
+                 "a key of one tenant");
         }
       }
+      CheckAllowedRegions(path, tenant.m_allowed_regions);
+    }
+    if (keys.size() > kMaxKeys) {
+      Report(list_path, std::to_string(keys.size()) + " keys",
+             "at most " + std::to_string(kMaxKeys) + " keys of all tenants");
     }
   }
 
--- a/src/config/difference.cc
+++ b/src/config/difference.cc
@@ -44,6 +44,21 @@
   return text;
 }
 
+std::vector<Tenant> WithoutKeys(std::vector<Tenant> tenants) {
+  for (Tenant& tenant : tenants)
+    tenant.m_keys.clear();
+  return tenants;
+}
+
+// Both lists are sorted, as in a canonical document.
+std::size_t CountCommon(const std::vector<std::string>& a,
+                        const std::vector<std::string>& b) {
+  std::vector<std::string> common;
+  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(),
+                        std::back_inserter(common));
+  return common.size();
+}
+
 class ChangeList {
  public:
   explicit ChangeList(std::size_t max_lines) : m_max_lines(max_lines) {}
@@ -86,6 +101,28 @@
       Add(std::string(kind) + " \"" + name + "\" removed");
   }
 
+  // Names the number of keys instead of the keys, which must not be printed.
+  void CompareTenants(const std::vector<Tenant>& from,
+                      const std::vector<Tenant>& to) {
+    CompareList("tenant", WithoutKeys(from), WithoutKeys(to));
+    for (const Tenant& tenant : to) {
+      const auto old_tenant =
+          std::find_if(from.begin(), from.end(), [&](const Tenant& candidate) {
+            return candidate.m_name == tenant.m_name;
+          });
+      if (old_tenant == from.end())
+        continue;
+      const std::size_t kept = CountCommon(old_tenant->m_keys, tenant.m_keys);
+      const std::size_t added = tenant.m_keys.size() - kept;
+      const std::size_t removed = old_tenant->m_keys.size() - kept;
+      if (added + removed == 0)
+        continue;
+      Add("tenant \"" + tenant.m_name.m_value +
+          "\" keys: " + std::to_string(added) + " added, " +
+          std::to_string(removed) + " removed");
+    }
+  }
+
   std::vector<std::string> TakeLines() {
     if (m_count > m_max_lines)
       m_lines.push_back(std::to_string(m_count - m_max_lines) + " more");
@@ -216,6 +253,7 @@
                       new_document.m_entry_hosts);
   changes.CompareList("service", old_document.m_services,
                       new_document.m_services);
+  changes.CompareTenants(old_document.m_tenants, new_document.m_tenants);
   changes.CompareList("block", old_document.m_blocks, new_document.m_blocks);
   return changes.TakeLines();
 }
--- a/src/config/digest.cc
+++ b/src/config/digest.cc
@@ -23,6 +23,9 @@
     std::ranges::sort(service.m_non_repeatable_methods);
   std::ranges::sort(deployment.m_services);
   std::ranges::sort(deployment.m_routes);
+  for (Tenant& tenant : deployment.m_tenants)
+    std::ranges::sort(tenant.m_keys);
+  std::ranges::sort(deployment.m_tenants);
   std::ranges::sort(deployment.m_blocks);
   return deployment;
 }
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "control/command.h"
+#include "controld/control_operations.h"
 #include "core/clock.h"
 #include "feed/change.h"
 #include "observe/log.h"
@@ -158,11 +159,21 @@
       DiscoveryOptions{
           .m_host = m_settings.m_host,
           .m_announcement_interval = m_settings.m_announcement_interval,
-          .m_state_age = [this] { return m_runner.StateAge(); }});
+          .m_state_age = [this] { return m_runner.StateAge(); },
+          .m_read_barrier = [this] { return ConfirmState(); },
+          .m_has_tenants =
+              [this] {
+                return !m_runner.State().Config().Document().m_tenants.empty();
+              }});
   m_discovery->RegisterHandlers(handlers);
   m_discovery->Start();
 }
 
+asio::awaitable<bool> ControlService::ConfirmState() {
+  ControlOperations operations(*this);
+  co_return co_await operations.ReadBarrier();
+}
+
 asio::awaitable<void> ControlService::PeerLoop() {
   asio::steady_timer timer(m_io);
   while (!m_is_stopped) {
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -59,6 +59,8 @@
 
   void StartDiscovery(net::FrameDispatch* handlers);
   boost::asio::awaitable<void> PeerLoop();
+  // Runs a read barrier.
+  boost::asio::awaitable<bool> ConfirmState();
   void OnCommandApplied(std::uint64_t index,
                         const control::CommandResult& result);
   void OnRoleChange(const consensus::RoleChange& change);
--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -30,6 +30,11 @@
 // required for the leave of an upstream.
 constexpr milliseconds kEntryHostTimeout{1700};
 
+// Entry hosts ask every 500 ms, so a statement is rarely older than that.
+constexpr milliseconds kLeaseInterval{250};
+// An older confirmation is useless to entry hosts.
+constexpr milliseconds kMaxLeaseConfirmationAge{2000};
+
 // An entry host that is silent for longer is removed.
 constexpr milliseconds kEntryHostRetention{60000};
 
@@ -65,6 +70,7 @@
 void DiscoveryService::Start() {
   m_control_peers.Start();
   asio::co_spawn(m_io, TickLoop(), asio::detached);
+  asio::co_spawn(m_io, LeaseLoop(), asio::detached);
 }
 
 void DiscoveryService::Stop() {
@@ -205,6 +211,7 @@
                   {"ready", delta.m_presence->m_ready},
                   {"leaving", delta.m_leaving}});
   }
+  subscriber.m_clock = delta.m_clock;
   subscriber.m_presence = *delta.m_presence;
   subscriber.m_is_leaving = delta.m_leaving;
   subscriber.m_merged_version = delta.m_merged;
@@ -241,6 +248,7 @@
   page.m_delta.m_merged = subscriber.m_received_version;
   page.m_delta.m_omitted = LeavingEntryHosts();
   page.m_delta.m_feed_index = m_feed_index;
+  page.m_delta.m_lease = MakeLease(subscriber, now);
   page.m_delta.m_entry_host_states =
       m_entry_host_log.ChangedSince(subscriber.m_sent_states_version);
   if (subscriber.m_sent_host_lists_version != m_host_lists_version) {
@@ -333,6 +341,41 @@
   return hosts;
 }
 
+// ---- Leases ----------------------------------------------------------------
+
+// The barrier confirms what was committed before its start, whatever the delay
+// of the replies, so the age of a statement counts from there.
+asio::awaitable<void> DiscoveryService::LeaseLoop() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    if (m_leading_since && m_options.m_has_tenants()) {
+      const MonoTime started_at = MonoClock::now();
+      if (co_await m_options.m_read_barrier()) {
+        m_lease_confirmation = LeaseConfirmation{.m_confirmed_at = started_at,
+                                                 .m_feed_index = m_feed_index};
+      }
+    }
+    timer.expires_after(kLeaseInterval);
+    co_await timer.async_wait(kTuple);
+  }
+}
+
+std::optional<ConfigLease> DiscoveryService::MakeLease(
+    const Subscriber& subscriber,
+    MonoTime now) const {
+  const bool is_usable =
+      m_leading_since && m_lease_confirmation &&
+      now - m_lease_confirmation->m_confirmed_at < kMaxLeaseConfirmationAge;
+  if (!is_usable)
+    return std::nullopt;
+  return ConfigLease{.m_echoed_clock = subscriber.m_clock,
+                     .m_age = std::chrono::ceil<milliseconds>(
+                         now - m_lease_confirmation->m_confirmed_at),
+                     .m_feed_index = m_lease_confirmation->m_feed_index};
+}
+
+// ---- Ticks -----------------------------------------------------------------
+
 asio::awaitable<void> DiscoveryService::TickLoop() {
   asio::steady_timer timer(m_io);
   while (!m_is_stopped) {
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -69,11 +69,25 @@
                           const EntryHostCount&) = default;
 };
 
+// Confirmed point in time of the lease statements (ConfigLease).
+struct LeaseConfirmation {
+  MonoTime m_confirmed_at{};
+  std::uint64_t m_feed_index = 0;
+
+  friend auto operator<=>(const LeaseConfirmation&,
+                          const LeaseConfirmation&) = default;
+};
+
 struct DiscoveryOptions {
   HostId m_host;                                      // this control host
   std::chrono::milliseconds m_announcement_interval;  // of the upstreams
   // Time since the state of this host was confirmed to be the newest.
   std::function<std::chrono::milliseconds()> m_state_age;
+  // Runs a read barrier: true once the state of this host includes all that
+  // was committed before the call, false if this host does not lead.
+  std::function<boost::asio::awaitable<bool>()> m_read_barrier;
+  // True if the document in force has tenants.
+  std::function<bool()> m_has_tenants;
 };
 
 class DiscoveryService {
@@ -124,6 +138,7 @@
     std::uint64_t m_received_version = 0;  // of the subscriber's registry
     std::uint64_t m_sent_host_lists_version = 0;
     std::uint64_t m_sent_states_version = 0;  // of m_entry_host_log
+    std::uint64_t m_clock = 0;  // RegistryDelta::m_clock of the last message
     EntryPresence m_presence;
     bool m_is_leaving = false;
     MonoTime m_last_received;
@@ -140,6 +155,11 @@
   void RecordEntryHostStates(MonoTime now);
   std::vector<HostId> LeavingEntryHosts() const;
   boost::asio::awaitable<void> TickLoop();
+  // Confirms the configuration for the leases of entry hosts while this host
+  // leads.
+  boost::asio::awaitable<void> LeaseLoop();
+  std::optional<ConfigLease> MakeLease(const Subscriber& subscriber,
+                                       MonoTime now) const;
 
   boost::asio::io_context& m_io;
   const net::FrameOptions m_frames;
@@ -153,6 +173,7 @@
       1;  // of the lists of control and entry hosts
   std::uint64_t m_feed_index = 0;
   std::optional<MonoTime> m_leading_since;
+  std::optional<LeaseConfirmation> m_lease_confirmation;
   QuorumContact m_quorum_contact;
   boost::asio::steady_timer m_confirmation_timer;  // cancelled to wake waiters
   std::uint64_t m_pushed_version = 0;
--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -19,6 +19,7 @@
 #include "entry/connection_pool.h"
 #include "entry/dialect.h"
 #include "entry/link_pacer.h"
+#include "entry/send_lease.h"
 #include "entry/span_scope.h"
 #include "gen/claims.h"
 #include "gen/http.h"
@@ -51,7 +52,7 @@
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
   // Not sent: after its selection the instance stated that it wants no
-  // requests.
+  // requests, or the lease of the caller's key ran out.
   bool m_is_withheld = false;
 };
 
@@ -62,6 +63,7 @@
                 ConnectionPool& pool,
                 AttemptWatch& watch,
                 const LinkPacer& pacer,
+                const SendLease& lease,
                 const Route& route,
                 MonoTime deadline,
                 std::chrono::milliseconds connect_timeout,
@@ -70,6 +72,7 @@
         m_pool(pool),
         m_watch(watch),
         m_pacer(pacer),
+        m_lease(lease),
         m_route(route),
         m_deadline(deadline),
         m_connect_timeout(connect_timeout),
@@ -123,6 +126,7 @@
   ConnectionPool& m_pool;
   AttemptWatch& m_watch;
   const LinkPacer& m_pacer;
+  const SendLease& m_lease;
   const Route& m_route;
   const MonoTime m_deadline;
   const std::chrono::milliseconds m_connect_timeout;
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -157,6 +157,13 @@
                          "the instance stated that it wants no requests"));
     co_return false;
   }
+  if (!m_lease.IsValid(MonoClock::now())) {
+    m_result.m_is_withheld = true;
+    SetFailure(Failure::kConnectFailed,
+               MakeError(ErrorCode::kUnavailable,
+                         "the lease of the caller's key ran out"));
+    co_return false;
+  }
   RecordEvent(request::AttemptEvent::kSendStarted);
   const Status sent = co_await m_connection->SendHead(request.m_head);
   if (!sent) {
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -37,7 +37,8 @@
 ServingView EmptyView() {
   return {.m_lookup = std::make_shared<const lookup::Table>(),
           .m_upstreams = std::make_shared<const steering::UpstreamView>(),
-          .m_routes = std::make_shared<const steering::RouteTable>()};
+          .m_routes = std::make_shared<const steering::RouteTable>(),
+          .m_tenants = std::make_shared<const tenants::TenantTable>()};
 }
 
 Result<std::optional<Deployment>> ReadDeployment(const std::string& path) {
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -101,6 +101,10 @@
       m_feed_state(std::make_shared<const FeedState>()),
       m_lookup(std::make_shared<const lookup::Table>()),
       m_routes(std::make_shared<const steering::RouteTable>()),
+      m_tenants(std::make_shared<const tenants::TenantTable>()),
+      m_key_lease(shared.m_settings.m_discovers_control
+                      ? shared.m_settings.m_key_lease
+                      : std::nullopt),
       m_is_config_confirmed(!shared.m_settings.m_discovers_control),
       m_registry(MakeRegistryLimits(shared.m_settings)),
       m_allotments(shared.m_settings.m_host, shared.m_incarnation),
@@ -155,6 +159,11 @@
   }
   if (!delta.m_entry_host_states.empty())
     m_entry_host_lists_due = MonoTime{};
+  if (delta.m_lease) {
+    const MonoTime now = MonoClock::now();
+    m_key_lease.OnStatement(*delta.m_lease, now);
+    UpdateKeyLease(now);
+  }
   m_entry_host_directory.OnReport(delta.m_host, delta.m_incarnation,
                                   delta.m_entry_host_states, MonoClock::now());
   const std::optional<Endpoint> sender = ParseEndpoint(delta.m_host.m_value);
@@ -237,7 +246,8 @@
 // direct callers here only while it is ready.
 void EntryControl::UpdatePresence() {
   const bool is_ready = m_feed_state->m_deployment.m_number > 0 &&
-                        m_is_config_confirmed && !m_drain;
+                        m_is_config_confirmed && !m_drain &&
+                        !m_is_key_lease_expired;
   const bool is_changed = m_is_ready.exchange(is_ready) != is_ready;
   if (is_changed)
     m_entry_host_lists_due = MonoTime{};
@@ -341,9 +351,16 @@
   }
   m_routes = std::make_shared<const steering::RouteTable>(
       m_feed_state->m_deployment.m_routes);
+  if (m_tenants->All() != m_feed_state->m_deployment.m_tenants) {
+    m_tenants = std::make_shared<const tenants::TenantTable>(
+        m_feed_state->m_deployment.m_tenants);
+  }
   RebuildLookup();
   TrackLimits();
   PublishView();
+  // Only now, since a lease must not cover requests that still use the keys of
+  // the previous view.
+  UpdateKeyLease(m_feed_advanced_at);
   observe::GaugeOf(Metric::kConfigIndex)
       .Set(static_cast<std::int64_t>(m_feed_state->m_index));
 }
@@ -437,6 +454,7 @@
   view->m_routes = m_is_config_confirmed
                        ? m_routes
                        : std::make_shared<const steering::RouteTable>();
+  view->m_tenants = m_tenants;
   view->m_limits = UsesAllotments() ? m_allotments.Table() : nullptr;
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
@@ -526,6 +544,7 @@
   AdvanceDrain(now);
   SwitchToNewerFeed(now);
   UpdateConfigConfirmation(now);
+  UpdateKeyLease(now);
   UpdatePresence();
   UpdateEntryHostLists(now);
   if (m_shared.m_settings.m_discovers_control && now >= m_control_hosts_due)
@@ -547,6 +566,18 @@
   MarkViewOutdated();
 }
 
+void EntryControl::UpdateKeyLease(MonoTime now) {
+  const MonoTime end = m_key_lease.EndAt(m_feed_state->m_index);
+  m_shared.m_key_lease_end.store(end, std::memory_order_release);
+  const bool is_expired = !m_tenants->empty() && now >= end;
+  if (std::exchange(m_is_key_lease_expired, is_expired) == is_expired)
+    return;
+  observe::Log(
+      is_expired ? LogEvent::kKeyLeaseExpired : LogEvent::kKeyLeaseRenewed,
+      {{"index", m_feed_state->m_index},
+       {"number", m_feed_state->m_deployment.m_number}});
+}
+
 void EntryControl::UpdateMetrics(MonoTime now) {
   const auto lease_left =
       std::chrono::duration_cast<milliseconds>(m_allotments.LeaseEnd() - now);
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -38,6 +38,8 @@
 #include "request/host_drain.h"
 #include "steering/counter_table.h"
 #include "steering/route_table.h"
+#include "tenants/key_lease.h"
+#include "tenants/tenant_table.h"
 
 namespace jujube::entry {
 
@@ -93,6 +95,8 @@
   void Tick(MonoTime now);
   void AdvanceDrain(MonoTime now);
   void UpdateConfigConfirmation(MonoTime now);
+  // Publishes the end of the lease for requests with keys.
+  void UpdateKeyLease(MonoTime now);
   void UpdateMetrics(MonoTime now);
   boost::asio::awaitable<void> RenewLoop();
   boost::asio::awaitable<void> RenewOnce();
@@ -109,6 +113,9 @@
   std::shared_ptr<const FeedState> m_feed_state;  // configuration in force
   std::shared_ptr<const lookup::Table> m_lookup;
   std::shared_ptr<const steering::RouteTable> m_routes;
+  std::shared_ptr<const tenants::TenantTable> m_tenants;
+  tenants::KeyLease m_key_lease;
+  bool m_is_key_lease_expired = false;  // as logged last
   // False with discovered control hosts until one of them has confirmed the
   // configuration once. Until then no route is served, since callers may have
   // seen a newer configuration before this process started.
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -39,6 +39,8 @@
   rcu::Cell<lookup::EntryHostLists> m_entry_host_lists;
   // Last time at which the configuration was confirmed to be the newest.
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
+  // End of the lease for requests with keys (tenants/key_lease.h).
+  std::atomic<MonoTime> m_key_lease_end{MonoTime{}};
   std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
   // Usable slots of all services. Not part of the view, because ejections and
   // pauses of instances end without a new view.
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -58,6 +58,10 @@
   void LogAttempt(const Request& request,
                   const AttemptResult& result,
                   bool is_retried) const;
+  // Checks the key of the caller against the configuration in force, and sets
+  // the tenant of the request.
+  std::optional<Refusal> CheckAccess(net::HttpExchange& exchange,
+                                     Request& request);
   std::optional<Refusal> Admit(net::HttpExchange& exchange, Request& request);
   static std::optional<Refusal> CheckKey(const Request& request);
   boost::asio::awaitable<std::optional<Refusal>> ReadBody(
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -11,6 +11,7 @@
 
 #include "core/hash.h"
 #include "entry/attempt_runner_impl.h"
+#include "entry/caller_key.h"
 #include "entry/claim_client.h"
 #include "entry/refusal.h"
 #include "limits/topology.h"
@@ -19,6 +20,8 @@
 #include "request/idempotency_key.h"
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
+#include "tenants/access.h"
+#include "tenants/home_regions.h"
 
 // Sections: request state, admission, body and claim, attempts, responses.
 
@@ -199,7 +202,9 @@
   request.m_span = m_tracer.StartRequestSpan(exchange.Head().m_headers);
   request.m_span.SetAttribute("service", request.m_route.m_service.m_value);
   SpanScope admission = request.m_span.Child("admission");
-  const std::optional<Refusal> refusal = Admit(exchange, request);
+  std::optional<Refusal> refusal = CheckAccess(exchange, request);
+  if (!refusal)
+    refusal = Admit(exchange, request);
   if (refusal)
     admission.SetFailed();
   admission.End();
@@ -278,6 +283,8 @@
       LogEvent::kRequestRefused,
       {{"request", route != nullptr ? route->m_request_id : std::string()},
        {"route", route != nullptr ? route->m_rule_name : std::string()},
+       {"tenant", route != nullptr && route->m_tenant ? route->m_tenant->m_value
+                                                      : std::string()},
        {"status", refusal.m_status},
        {"verdict", VerdictText(refusal.m_verdict)},
        {"reason", refusal.m_reason}});
@@ -302,6 +309,59 @@
 
 // ---- Admission -------------------------------------------------------------
 
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::CheckAccess(net::HttpExchange& exchange,
+                                                    Request& request) {
+  const rcu::ReadSection section;
+  const tenants::TenantTable& table = *m_shared.m_view.Read(section).m_tenants;
+  Route& route = request.m_route;
+  route.m_has_tenants = !table.empty();
+  route.m_tenant.reset();
+  if (!route.m_has_tenants)
+    return std::nullopt;
+  const tenants::Credential credential =
+      ReadCallerKey(exchange.Head().m_headers);
+  const std::optional<tenants::TenantIndex> index =
+      table.FindByKey(credential.m_key);
+  const tenants::AccessAnswer answer = tenants::DecideAccess(
+      {.m_has_tenants = true,
+       .m_allows_anonymous = route.m_allows_anonymous,
+       .m_credential = credential.m_state,
+       .m_is_key_known = index.has_value(),
+       .m_may_be_outdated = MayBeOutdated(),
+       .m_is_lease_expired =
+           MonoClock::now() >=
+           m_shared.m_key_lease_end.load(std::memory_order_acquire)});
+  if (tenants::IsRefused(answer)) {
+    m_metrics.CountRefusal(answer);
+    return Refusal{
+        .m_status = tenants::StatusOf(answer),
+        .m_verdict = request.m_verdict,
+        .m_reason = std::string(tenants::ReasonOf(answer)),
+        .m_retry_after =
+            tenants::StatusOf(answer) == forwarder_internal::kServiceUnavailable
+                ? forwarder_internal::kRetryAfter
+                : milliseconds(0)};
+  }
+  if (answer != tenants::AccessAnswer::kTenant)
+    return std::nullopt;
+  const Tenant& tenant = table.At(*index);
+  route.m_tenant = tenant.m_name;
+  if (tenant.m_priority)
+    route.m_priority = tenant.m_priority;
+  std::optional<std::vector<RegionId>> regions =
+      tenants::CommonRegions(route.m_allowed_regions, tenant.m_allowed_regions);
+  if (!regions) {
+    m_metrics.CountRefusal(RefusalCause::kNoRegion);
+    return Refusal{.m_verdict = request.m_verdict,
+                   .m_reason =
+                       "the route and the tenant have no region in "
+                       "common"};
+  }
+  route.m_allowed_regions = *std::move(regions);
+  return std::nullopt;
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 std::optional<Refusal> Forwarder<D, P>::Admit(net::HttpExchange& exchange,
                                               Request& request) {
@@ -530,6 +590,13 @@
                                                Request& request) {
   request.m_retry_budget->OnRequest(request.m_service.m_retry_budget_permille);
   while (true) {
+    // The key may have been taken away since the request was admitted.
+    const std::optional<Refusal> refusal = CheckAccess(exchange, request);
+    if (refusal) {
+      FinishClaim(request, std::nullopt);
+      co_await Refuse(exchange, &request, *refusal);
+      co_return;
+    }
     SpanScope attempt = request.m_span.Child("attempt");
     SpanScope step = attempt.Child("select");
     std::optional<steering::Selection> selection = Select(request);
@@ -664,8 +731,10 @@
       exchange.Head(), request.m_route, remaining,
       m_tracer.UpstreamTraceparent(span, exchange.Head().m_headers), selection);
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
-  AttemptRunner<D> runner(exchange, m_pool, m_watch, pacer, request.m_route,
-                          request.m_deadline.m_time,
+  const SendLease lease(m_shared.m_key_lease_end,
+                        request.m_route.m_tenant.has_value());
+  AttemptRunner<D> runner(exchange, m_pool, m_watch, pacer, lease,
+                          request.m_route, request.m_deadline.m_time,
                           m_shared.m_settings.m_connect_timeout, span);
   AttemptResult result = co_await runner.Run(selection, request.m_outgoing,
                                              request.m_is_repeatable);
--- a/src/entry/native_dialect.cc
+++ b/src/entry/native_dialect.cc
@@ -1,5 +1,6 @@
 #include "entry/native_dialect.h"
 
+#include "entry/caller_key.h"
 #include "net/http_fields.h"
 #include "request/attempt.h"
 #include "request/rate_limit.h"
@@ -14,15 +15,19 @@
 constexpr std::string_view kRateLimitField = "Jujube-Rate-Limit";
 constexpr std::string_view kRetryAfterField = "Retry-After";
 constexpr std::string_view kStartedField = "Jujube-Started";
+constexpr std::string_view kTenantField = "Jujube-Tenant";
 constexpr std::string_view kTraceparentField = "traceparent";
 constexpr std::string_view kVerdictField = "Jujube-Verdict";
 
 constexpr std::uint16_t kServiceUnavailable = 503;
 
-// Whether the field is not copied to the upstream. The deadline and the
-// traceparent are written anew.
-bool IsRemoved(std::string_view name) {
-  return net::IsHopByHop(name) || net::EqualsIgnoreCase(name, kDeadlineField) ||
+// Whether the field is not copied to the upstream. The deadline, the
+// traceparent and the tenant are written anew.
+bool IsRemoved(std::string_view name, const Route& route) {
+  return net::IsHopByHop(name) ||
+         (route.m_has_tenants && (IsCallerKeyField(name) ||
+                                  net::EqualsIgnoreCase(name, kTenantField))) ||
+         net::EqualsIgnoreCase(name, kDeadlineField) ||
          net::EqualsIgnoreCase(name, kTraceparentField) ||
          net::EqualsIgnoreCase(name, kEarlierAttemptsField);
 }
@@ -45,11 +50,15 @@
                        .m_content_length = head.m_content_length,
                        .m_has_body = head.m_has_body};
   for (const Header& header : head.m_headers) {
-    if (!IsRemoved(header.m_name))
+    if (!IsRemoved(header.m_name, route))
       upstream.m_headers.push_back(header);
   }
   upstream.m_headers.push_back(
       {std::string(kDeadlineField), std::to_string(remaining.count())});
+  if (route.m_tenant) {
+    upstream.m_headers.push_back(
+        {std::string(kTenantField), route.m_tenant->m_value});
+  }
   if (!traceparent.empty()) {
     upstream.m_headers.push_back(
         {std::string(kTraceparentField), std::string(traceparent)});
--- a/src/entry/request_metrics.cc
+++ b/src/entry/request_metrics.cc
@@ -18,6 +18,8 @@
       return "claim";
     case RefusalCause::kNoSlot:
       return "no_slot";
+    case RefusalCause::kNoRegion:
+      return "no_region";
   }
   return "unknown";
 }
@@ -32,6 +34,13 @@
     m_refusals_by_cause[i] = &observe::CounterOf(
         Metric::kRefused, ToString(static_cast<RefusalCause>(i)));
   }
+  for (std::size_t i = 0; i < kAccessAnswerCount; ++i) {
+    const auto answer = static_cast<tenants::AccessAnswer>(i);
+    if (tenants::IsRefused(answer)) {
+      m_access_refusals[i] =
+          &observe::CounterOf(Metric::kRefused, tenants::ToString(answer));
+    }
+  }
   for (std::size_t i = 1; i < kRetryAnswerCount; ++i) {
     m_denied_retries[i] = &observe::CounterOf(
         Metric::kRetriesDenied,
@@ -62,6 +71,12 @@
   m_refusals_by_cause[static_cast<std::size_t>(cause)]->Add();
 }
 
+void RequestMetrics::CountRefusal(tenants::AccessAnswer answer) {
+  if (observe::Counter* counter =
+          m_access_refusals[static_cast<std::size_t>(answer)])
+    counter->Add();
+}
+
 void RequestMetrics::CountDeniedRetry(steering::RetryAnswer answer) {
   if (observe::Counter* counter =
           m_denied_retries[static_cast<std::size_t>(answer)])
--- a/src/entry/request_metrics.h
+++ b/src/entry/request_metrics.h
@@ -16,6 +16,7 @@
 #include "observe/histogram.h"
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
+#include "tenants/access.h"
 
 namespace jujube::entry {
 
@@ -28,6 +29,7 @@
   kNoMemory,         // no memory for the body
   kClaimNotGranted,  // the claim was not granted
   kNoSlot,           // no instance had a free slot at selection
+  kNoRegion,         // no region may serve both the route and the tenant
 };
 
 // Label of the metric jujube_requests_refused_total.
@@ -47,19 +49,24 @@
   ServiceMetrics& ForService(const ServiceId& service);
   void CountRefusal(steering::AdmissionAnswer answer);
   void CountRefusal(RefusalCause cause);
+  void CountRefusal(tenants::AccessAnswer answer);
   void CountDeniedRetry(steering::RetryAnswer answer);
 
  private:
   static constexpr std::size_t kAdmissionAnswerCount =
       static_cast<std::size_t>(steering::AdmissionAnswer::kPriorityTooLow) + 1;
   static constexpr std::size_t kRefusalCauseCount =
-      static_cast<std::size_t>(RefusalCause::kNoSlot) + 1;
+      static_cast<std::size_t>(RefusalCause::kNoRegion) + 1;
+  static constexpr std::size_t kAccessAnswerCount =
+      static_cast<std::size_t>(tenants::AccessAnswer::kLeaseExpired) + 1;
   static constexpr std::size_t kRetryAnswerCount =
       static_cast<std::size_t>(steering::RetryAnswer::kBudgetSpent) + 1;
 
   std::array<observe::Counter*, kAdmissionAnswerCount>
       m_admission_refusals{};  // by AdmissionAnswer; null for kAdmitted
   std::array<observe::Counter*, kRefusalCauseCount> m_refusals_by_cause{};
+  std::array<observe::Counter*, kAccessAnswerCount>
+      m_access_refusals{};  // by AccessAnswer; null for accepted requests
   std::array<observe::Counter*, kRetryAnswerCount>
       m_denied_retries{};  // by RetryAnswer; null for kRetry
   std::map<ServiceId, ServiceMetrics> m_services;
--- a/src/entry/route.h
+++ b/src/entry/route.h
@@ -34,6 +34,13 @@
   std::uint32_t m_max_attempts = steering::kMaxAttempts;
   std::uint64_t m_affinity_hash = 0;        // hash of the affinity key; 0: none
   std::vector<RegionId> m_allowed_regions;  // empty: all
+  bool m_allows_anonymous = false;          // no key of a tenant is needed
+
+  // Set by the forwarder. With tenants in the document, the key of the caller
+  // and any name of a tenant that it sent are not passed on.
+  bool m_has_tenants = false;
+  // Tenant whose key the caller sent; empty: none.
+  std::optional<TenantId> m_tenant;
 
   // The caller states that no earlier attempt can have run
   // (Jujube-Earlier-Attempts: not-run).
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -17,6 +17,7 @@
 #include "lookup/table.h"
 #include "steering/route_table.h"
 #include "steering/upstream_view.h"
+#include "tenants/tenant_table.h"
 
 namespace jujube::entry {
 
@@ -26,6 +27,7 @@
   std::shared_ptr<const lookup::Table> m_lookup;              // never null
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
   std::shared_ptr<const steering::RouteTable> m_routes;       // never null
+  std::shared_ptr<const tenants::TenantTable> m_tenants;      // never null
   std::shared_ptr<const limits::LimitTable> m_limits;         // null: no limits
   bool m_is_refusing_requests = false;  // planned stop refuses new requests
   // During a planned stop, the time by which admitted requests have to end.
--- a/src/gen/deployment.cc
+++ b/src/gen/deployment.cc
@@ -7,8 +7,8 @@
 namespace jujube {
 
 std::string_view ToString(RequestKind value) {
-  static constexpr std::array<std::string_view, 2> kNames = {"Repeatable",
-                                                             "AtMostOnce"};
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "Repeatable", "AtMostOnce", "Upload"};
   const auto index = static_cast<std::size_t>(value);
   return index < kNames.size() ? kNames[index] : "invalid";
 }
--- a/src/gen/deployment.h
+++ b/src/gen/deployment.h
@@ -107,6 +107,8 @@
 enum class RequestKind : std::uint8_t {
   kRepeatable,  // may be sent to an upstream more than once
   kAtMostOnce,  // runs at most once per request of a caller
+  kUpload,  // runs at most once and has a large body, which is passed on while
+            // it arrives
 };
 
 // Returns the name of a value as written in JSON and logs, for example
@@ -153,10 +155,37 @@
   std::vector<RegionId>
       m_allowed_regions;  // regions that may serve the route; empty allows all
                           // (at most 64 elements)
+  bool m_allows_anonymous =
+      false;  // requests without a key of a tenant are accepted although the
+              // document has tenants
 
   friend auto operator<=>(const RouteRule&, const RouteRule&) = default;
 };
 
+// A customer of the operator, whose callers identify themselves by a key.
+struct Tenant {
+  TenantId
+      m_name;  // name of the tenant, which upstreams receive with its requests
+  std::vector<std::string> m_keys;  // keys of its callers, each of 1 to 256
+                                    // visible ASCII characters; a key belongs
+                                    // to one tenant (at most 1024 elements)
+  std::optional<std::uint8_t>
+      m_priority;  // priority of its requests; takes precedence over the
+                   // priority of the route (from 0)
+  std::uint64_t m_requests_per_1000s =
+      0;  // quota of requests in 1000 s over all entry hosts together; 0 for
+          // none (at most 1000000000000)
+  std::uint64_t m_burst =
+      0;  // requests that the tenant may send at once beyond its rate, after it
+          // sent fewer (at most 1000000000)
+  std::vector<RegionId>
+      m_allowed_regions;  // regions that may serve its requests; empty allows
+                          // all. If the route has some as well, both bind (at
+                          // most 64 elements)
+
+  friend auto operator<=>(const Tenant&, const Tenant&) = default;
+};
+
 // Limits on the size of requests and on the time to receive them.
 struct RequestLimits {
   std::uint32_t m_max_header_bytes =
@@ -230,6 +259,10 @@
   std::vector<Service> m_services;       // services (at most 1024 elements)
   std::vector<RouteRule>
       m_routes;  // routes by host name and path (at most 100000 elements)
+  std::vector<Tenant>
+      m_tenants;  // tenants; if there are any, a request needs a key of one of
+                  // them, unless its route allows anonymous callers (at most
+                  // 20000 elements)
   RequestLimits m_request_limits;  // limits on requests
   bool m_discovers_entry_hosts =
       false;  // entry hosts announce themselves to the control hosts;
--- a/src/gen/deployment_json.cc
+++ b/src/gen/deployment_json.cc
@@ -164,7 +164,7 @@
                const JsonPath& path,
                Problems& problems,
                RequestKind& value) {
-  ParseEnum(json, path, problems, 2, value);
+  ParseEnum(json, path, problems, 3, value);
 }
 
 boost::json::value ToJson(const RequestKind& value) {
@@ -213,6 +213,8 @@
               value.m_has_affinity);
   reader.Read("allowed_regions", Presence::kOptional, {std::nullopt, 64},
               value.m_allowed_regions);
+  reader.Read("allows_anonymous", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_allows_anonymous);
   reader.RejectUnknownKeys();
 }
 
@@ -229,6 +231,36 @@
   PutJson(object, "max_attempts", value.m_max_attempts);
   PutJson(object, "has_affinity", value.m_has_affinity);
   PutJson(object, "allowed_regions", value.m_allowed_regions);
+  PutJson(object, "allows_anonymous", value.m_allows_anonymous);
+  return object;
+}
+
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               Tenant& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("name", Presence::kRequired, {std::nullopt, std::nullopt},
+              value.m_name);
+  reader.Read("keys", Presence::kOptional, {std::nullopt, 1024}, value.m_keys);
+  reader.Read("priority", Presence::kOptional, {0, 9}, value.m_priority);
+  reader.Read("requests_per_1000s", Presence::kOptional,
+              {std::nullopt, 1000000000000}, value.m_requests_per_1000s);
+  reader.Read("burst", Presence::kOptional, {std::nullopt, 1000000000},
+              value.m_burst);
+  reader.Read("allowed_regions", Presence::kOptional, {std::nullopt, 64},
+              value.m_allowed_regions);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const Tenant& value) {
+  boost::json::object object;
+  PutJson(object, "name", value.m_name);
+  PutJson(object, "keys", value.m_keys);
+  PutJson(object, "priority", value.m_priority);
+  PutJson(object, "requests_per_1000s", value.m_requests_per_1000s);
+  PutJson(object, "burst", value.m_burst);
+  PutJson(object, "allowed_regions", value.m_allowed_regions);
   return object;
 }
 
@@ -360,6 +392,8 @@
               value.m_services);
   reader.Read("routes", Presence::kOptional, {std::nullopt, 100000},
               value.m_routes);
+  reader.Read("tenants", Presence::kOptional, {std::nullopt, 20000},
+              value.m_tenants);
   reader.Read("request_limits", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_request_limits);
   reader.Read("discovers_entry_hosts", Presence::kOptional,
@@ -385,6 +419,7 @@
   PutJson(object, "entry_hosts", value.m_entry_hosts);
   PutJson(object, "services", value.m_services);
   PutJson(object, "routes", value.m_routes);
+  PutJson(object, "tenants", value.m_tenants);
   PutJson(object, "request_limits", value.m_request_limits);
   PutJson(object, "discovers_entry_hosts", value.m_discovers_entry_hosts);
   PutJson(object, "source", value.m_source);
--- a/src/gen/deployment_json.h
+++ b/src/gen/deployment_json.h
@@ -67,6 +67,12 @@
                RouteRule& value);
 boost::json::value ToJson(const RouteRule& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               Tenant& value);
+boost::json::value ToJson(const Tenant& value);
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/deployment_serialize.h
+++ b/src/gen/deployment_serialize.h
@@ -59,10 +59,18 @@
 void serialize(Archive& archive, RouteRule& value) {
   archive(wire::Bounded(value.m_name, 200), wire::Bounded(value.m_host, 255),
           wire::Bounded(value.m_path_prefix, 4096),
-          wire::Checked(value.m_kind, 2), wire::Count(value.m_time_limit),
+          wire::Checked(value.m_kind, 3), wire::Count(value.m_time_limit),
           wire::Count(value.m_target_latency), value.m_priority,
           wire::Bounded(value.m_services, 64), value.m_max_attempts,
-          value.m_has_affinity, wire::Bounded(value.m_allowed_regions, 64));
+          value.m_has_affinity, wire::Bounded(value.m_allowed_regions, 64),
+          value.m_allows_anonymous);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Tenant& value) {
+  archive(value.m_name, wire::Bounded(value.m_keys, 1024), value.m_priority,
+          value.m_requests_per_1000s, value.m_burst,
+          wire::Bounded(value.m_allowed_regions, 64));
 }
 
 template <class Archive>
@@ -102,7 +110,8 @@
           wire::Bounded(value.m_sites, 1024),
           wire::Bounded(value.m_entry_hosts, 2048),
           wire::Bounded(value.m_services, 1024),
-          wire::Bounded(value.m_routes, 100000), value.m_request_limits,
+          wire::Bounded(value.m_routes, 100000),
+          wire::Bounded(value.m_tenants, 20000), value.m_request_limits,
           value.m_discovers_entry_hosts, wire::Bounded(value.m_source, 4194304),
           wire::Bounded(value.m_blocks, 500000));
 }
--- a/src/gen/deployment_wire.cc
+++ b/src/gen/deployment_wire.cc
@@ -71,6 +71,14 @@
   return wire::DecodeValue<RouteRule>(bytes, "RouteRule");
 }
 
+std::string Encode(const Tenant& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<Tenant> DecodeTenant(std::string_view bytes) {
+  return wire::DecodeValue<Tenant>(bytes, "Tenant");
+}
+
 std::string Encode(const RequestLimits& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/deployment_wire.h
+++ b/src/gen/deployment_wire.h
@@ -36,6 +36,9 @@
 std::string Encode(const RouteRule& value);
 Result<RouteRule> DecodeRouteRule(std::string_view bytes);
 
+std::string Encode(const Tenant& value);
+Result<Tenant> DecodeTenant(std::string_view bytes);
+
 std::string Encode(const RequestLimits& value);
 Result<RequestLimits> DecodeRequestLimits(std::string_view bytes);
 
--- a/src/gen/frames.h
+++ b/src/gen/frames.h
@@ -13,6 +13,7 @@
 #include "gen/consensus_wire.h"
 #include "gen/feed_wire.h"
 #include "gen/membership_wire.h"
+#include "gen/quotas_wire.h"
 
 namespace jujube {
 
@@ -37,6 +38,8 @@
   kAllotmentRequest = 40,
   kAllotmentReply = 41,
   kRegistryDelta = 50,
+  kQuotaReport = 52,
+  kQuotaGrant = 53,
 };
 
 // Maximum payload size of a frame type in bytes; 0 for an unknown type.
@@ -82,6 +85,10 @@
       return 1048576;
     case 50:
       return 1048576;
+    case 52:
+      return 1048576;
+    case 53:
+      return 1048576;
     default:
       return 0;
   }
@@ -251,4 +258,20 @@
   }
 };
 
+template <>
+struct FrameTraits<QuotaReport> {
+  static constexpr FrameType kType = FrameType::kQuotaReport;
+  static Result<QuotaReport> Decode(std::string_view bytes) {
+    return DecodeQuotaReport(bytes);
+  }
+};
+
+template <>
+struct FrameTraits<QuotaGrant> {
+  static constexpr FrameType kType = FrameType::kQuotaGrant;
+  static Result<QuotaGrant> Decode(std::string_view bytes) {
+    return DecodeQuotaGrant(bytes);
+  }
+};
+
 }  // namespace jujube
--- a/src/gen/instance_report.h
+++ b/src/gen/instance_report.h
@@ -20,6 +20,13 @@
   std::optional<std::uint32_t>
       m_in_progress;  // requests in progress at the instance, waiting ones
                       // included
+  std::optional<std::uint32_t>
+      m_waiting;  // the part of in_progress that waits for a slot
+  std::optional<std::uint32_t>
+      m_slots;  // requests that it handles concurrently
+  std::optional<std::uint32_t>
+      m_work_time_permille;  // time that work takes on its machine at this
+                             // moment; 1000: as usual
   bool m_is_leaving =
       false;  // accepts no new requests; final for its incarnation
   std::optional<std::chrono::milliseconds>
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -185,6 +185,24 @@
               "attempt at an upstream failed"};
     case LogEvent::kSettingsReloaded:
       return {512, LogLevel::kInfo, "SettingsReloaded", "settings reloaded"};
+    case LogEvent::kKeyLeaseExpired:
+      return {513, LogLevel::kWarning, "KeyLeaseExpired",
+              "requests with keys are refused"};
+    case LogEvent::kKeyLeaseRenewed:
+      return {514, LogLevel::kInfo, "KeyLeaseRenewed",
+              "requests with keys are accepted again"};
+    case LogEvent::kTenantAtLimit:
+      return {515, LogLevel::kInfo, "TenantAtLimit",
+              "tenant reached its quota on this host"};
+    case LogEvent::kTenantBelowLimit:
+      return {516, LogLevel::kInfo, "TenantBelowLimit",
+              "tenant is within its quota again on this host"};
+    case LogEvent::kRequestWaited:
+      return {517, LogLevel::kDebug, "RequestWaited",
+              "request waited for room at an upstream"};
+    case LogEvent::kRequestCost:
+      return {518, LogLevel::kDebug, "RequestCost",
+              "expected and observed work of a request"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -82,6 +82,12 @@
   kRequestRefused = 510,     // request refused
   kAttemptFailed = 511,      // attempt at an upstream failed
   kSettingsReloaded = 512,   // settings reloaded
+  kKeyLeaseExpired = 513,    // requests with keys are refused
+  kKeyLeaseRenewed = 514,    // requests with keys are accepted again
+  kTenantAtLimit = 515,      // tenant reached its quota on this host
+  kTenantBelowLimit = 516,   // tenant is within its quota again on this host
+  kRequestWaited = 517,      // request waited for room at an upstream
+  kRequestCost = 518,        // expected and observed work of a request
 };
 
 struct LogEventInfo {
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -86,6 +86,18 @@
                           const EntryHostState&) = default;
 };
 
+// Statement of the leader of the control hosts that no configuration above an
+// index was accepted up to a point in time.
+struct ConfigLease {
+  std::uint64_t m_echoed_clock = 0;    // `clock` of the last message that the
+                                       // sender received from the receiver
+  std::chrono::milliseconds m_age{0};  // time since the point in time (from 0)
+  std::uint64_t m_feed_index = 0;  // the index; an entry host with a lower one
+                                   // must not rely on the lease yet
+
+  friend auto operator<=>(const ConfigLease&, const ConfigLease&) = default;
+};
+
 // Announcements that a peer may not have received yet.
 struct RegistryDelta {
   HostId m_host;                    // sender
@@ -112,6 +124,10 @@
                             // connection (at most 2048 elements)
   std::vector<HostId> m_omitted;  // entry hosts that the sender omits from
                                   // look-ups (at most 2048 elements)
+  std::uint64_t m_clock = 0;  // from an entry host: its monotonic clock when it
+                              // sent the message, in ns
+  std::optional<ConfigLease> m_lease;  // from the leader of the control hosts,
+                                       // if the document has tenants
   std::vector<RegistryEntry>
       m_entries;  // announcements with their ages (at most 4096 elements)
 
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -37,6 +37,11 @@
           value.m_live);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ConfigLease& value) {
+  archive(value.m_echoed_clock, wire::Count(value.m_age), value.m_feed_index);
+}
+
 template <class Archive>
 void serialize(Archive& archive, RegistryDelta& value) {
   archive(value.m_host, value.m_incarnation, value.m_leaving, value.m_version,
@@ -44,7 +49,7 @@
           wire::Bounded(value.m_control_hosts, 64), value.m_feed_index,
           wire::Bounded(value.m_entry_hosts, 2048),
           wire::Bounded(value.m_entry_host_states, 2048),
-          wire::Bounded(value.m_omitted, 2048),
+          wire::Bounded(value.m_omitted, 2048), value.m_clock, value.m_lease,
           wire::Bounded(value.m_entries, 4096));
 }
 
--- a/src/gen/membership_wire.cc
+++ b/src/gen/membership_wire.cc
@@ -39,6 +39,14 @@
   return wire::DecodeValue<EntryHostState>(bytes, "EntryHostState");
 }
 
+std::string Encode(const ConfigLease& value) {
+  return wire::EncodeValue(value);
+}
+
+Result<ConfigLease> DecodeConfigLease(std::string_view bytes) {
+  return wire::DecodeValue<ConfigLease>(bytes, "ConfigLease");
+}
+
 std::string Encode(const RegistryDelta& value) {
   return wire::EncodeValue(value);
 }
--- a/src/gen/membership_wire.h
+++ b/src/gen/membership_wire.h
@@ -24,6 +24,9 @@
 std::string Encode(const EntryHostState& value);
 Result<EntryHostState> DecodeEntryHostState(std::string_view bytes);
 
+std::string Encode(const ConfigLease& value);
+Result<ConfigLease> DecodeConfigLease(std::string_view bytes);
+
 std::string Encode(const RegistryDelta& value);
 Result<RegistryDelta> DecodeRegistryDelta(std::string_view bytes);
 
--- a/src/gen/metrics.h
+++ b/src/gen/metrics.h
@@ -14,9 +14,11 @@
 enum class MetricKind : std::uint8_t { kCounter, kGauge, kHistogram };
 
 enum class Metric : std::uint16_t {
-  kAnnouncements,  // announcements by outcome of the merge
-  kConfigIndex,    // feed index in force
-  kEjections,      // ejections of instances for failures
+  kAnnouncements,        // announcements by outcome of the merge
+  kConfigIndex,          // feed index in force
+  kEjections,            // ejections of instances for failures
+  kExpectedWorkSeconds,  // expected work of a request when its upstream was
+                         // selected
   kFeedAge,  // time since the configuration in force was known to be current
   kFeedSnapshots,       // snapshots started for subscribers
   kFeedSubscribers,     // subscribers of the feed of this process
@@ -33,22 +35,29 @@
                 // use
   kLinkUsable,  // part of the cap of a link that this host may use
   kLinkUse,     // rate of this host on a link since the last renewal
-  kLogLinesSuppressed,  // log lines left out by the budgets of their events
-  kLookups,             // look-ups answered
-  kRegionInProgress,    // requests of this host in progress in a region
-  kRegionUsable,        // part of the cap of a region that this host may use
-  kRequestSeconds,      // time from the request head to the end of the answer
-  kInProgress,          // requests in progress
-  kRefused,             // requests refused before an upstream was tried
-  kRequests,            // requests by verdict
-  kRetriesDenied,       // retries that were not made
-  kRetries,             // attempts after the first one
-  kSlotsInUse,          // slots that this host uses
-  kSlotsUsable,         // slots that this host may use
-  kSpansDropped,        // spans lost to a full queue or a failed write
-  kSpansExported,       // spans written to the span file
-  kUpstreams,           // instances that may take requests
-  kUpstreamsEjected,    // instances ejected for failures
+  kLogLinesSuppressed,   // log lines left out by the budgets of their events
+  kLookups,              // look-ups answered
+  kObservedWorkSeconds,  // time from sending a request to its response, without
+                         // the network
+  kQuotaRefused,      // requests refused because their tenant reached its quota
+  kRegionInProgress,  // requests of this host in progress in a region
+  kRegionUsable,      // part of the cap of a region that this host may use
+  kRequestSeconds,    // time from the request head to the end of the answer
+  kWaitSeconds,       // time that requests waited for room at an upstream
+  kInProgress,        // requests in progress
+  kRefused,           // requests refused before an upstream was tried
+  kRequests,          // requests by verdict
+  kWaited,          // requests that waited for room at an upstream, by outcome
+  kWaiting,         // requests that wait at this host for room at an upstream
+  kRetriesDenied,   // retries that were not made
+  kRetries,         // attempts after the first one
+  kSlotsInUse,      // slots that this host uses
+  kSlotsUsable,     // slots that this host may use
+  kSpansDropped,    // spans lost to a full queue or a failed write
+  kSpansExported,   // spans written to the span file
+  kTenantsAtLimit,  // tenants that reached their quota on this host lately
+  kUpstreams,       // instances that may take requests
+  kUpstreamsEjected,  // instances ejected for failures
 };
 
 struct MetricInfo {
@@ -58,13 +67,15 @@
   std::string_view m_help;
 };
 
-inline constexpr std::array<MetricInfo, 33> kMetrics = {{
+inline constexpr std::array<MetricInfo, 40> kMetrics = {{
     {MetricKind::kCounter, "jujube_announcements_total", "outcome",
      "announcements by outcome of the merge [announcements]"},
     {MetricKind::kGauge, "jujube_config_index", "",
      "feed index in force [index]"},
     {MetricKind::kCounter, "jujube_ejections_total", "service",
      "ejections of instances for failures [ejections]"},
+    {MetricKind::kHistogram, "jujube_expected_work_seconds", "service",
+     "expected work of a request when its upstream was selected [s]"},
     {MetricKind::kGauge, "jujube_feed_age_milliseconds", "",
      "time since the configuration in force was known to be current [ms]"},
     {MetricKind::kCounter, "jujube_feed_snapshots_total", "",
@@ -98,18 +109,28 @@
      "log lines left out by the budgets of their events [lines]"},
     {MetricKind::kCounter, "jujube_lookups_total", "",
      "look-ups answered [look-ups]"},
+    {MetricKind::kHistogram, "jujube_observed_work_seconds", "service",
+     "time from sending a request to its response, without the network [s]"},
+    {MetricKind::kCounter, "jujube_quota_refused_total", "",
+     "requests refused because their tenant reached its quota [requests]"},
     {MetricKind::kGauge, "jujube_region_in_progress", "region",
      "requests of this host in progress in a region [requests]"},
     {MetricKind::kGauge, "jujube_region_usable", "region",
      "part of the cap of a region that this host may use [requests]"},
     {MetricKind::kHistogram, "jujube_request_seconds", "service",
      "time from the request head to the end of the answer [s]"},
+    {MetricKind::kHistogram, "jujube_request_wait_seconds", "priority",
+     "time that requests waited for room at an upstream [s]"},
     {MetricKind::kGauge, "jujube_requests_in_progress", "",
      "requests in progress [requests]"},
     {MetricKind::kCounter, "jujube_requests_refused_total", "reason",
      "requests refused before an upstream was tried [requests]"},
     {MetricKind::kCounter, "jujube_requests_total", "verdict",
      "requests by verdict [requests]"},
+    {MetricKind::kCounter, "jujube_requests_waited_total", "outcome",
+     "requests that waited for room at an upstream, by outcome [requests]"},
+    {MetricKind::kGauge, "jujube_requests_waiting", "",
+     "requests that wait at this host for room at an upstream [requests]"},
     {MetricKind::kCounter, "jujube_retries_denied_total", "reason",
      "retries that were not made [attempts]"},
     {MetricKind::kCounter, "jujube_retries_total", "service",
@@ -122,6 +143,8 @@
      "spans lost to a full queue or a failed write [spans]"},
     {MetricKind::kCounter, "jujube_spans_exported_total", "",
      "spans written to the span file [spans]"},
+    {MetricKind::kGauge, "jujube_tenants_at_limit", "",
+     "tenants that reached their quota on this host lately [tenants]"},
     {MetricKind::kGauge, "jujube_upstreams", "service",
      "instances that may take requests [instances]"},
     {MetricKind::kGauge, "jujube_upstreams_ejected", "service",
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -104,6 +104,26 @@
   std::optional<std::uint16_t>
       m_retry_budget_permille;  // retry budget: retries allowed per thousand
                                 // requests; overrides the value of the document
+  std::optional<std::uint64_t>
+      m_link_kbit_s;  // rate of the link of this host in each direction; bodies
+                      // are then passed on in turn, so that small requests do
+                      // not wait behind large ones (from 1)
+  bool m_reuses_connections =
+      false;  // requests that run at most once may use idle connections to
+              // upstreams, if these were used a moment ago
+  bool m_waits_for_room =
+      false;  // a request may wait at this host for room at an upstream, in the
+              // order of its priority; otherwise it is refused or queued at the
+              // upstream
+  bool m_selects_by_cost =
+      false;  // upstreams are selected by the expected work of a request and
+              // the work that is left at each of them
+  std::optional<std::chrono::milliseconds>
+      m_key_lease;  // with `discovers_control`, time after which a request with
+                    // a key is refused if the control hosts have not confirmed
+                    // the configuration; a key that was taken away is then
+                    // refused everywhere within this time. Absent: keys remain
+                    // valid without contact to the control hosts (from 500)
   std::optional<std::uint32_t>
       m_retry_burst_of_all_hosts;  // burst of retries of a service beyond the
                                    // budget, divided among all entry hosts;
@@ -114,6 +134,20 @@
   friend auto operator<=>(const EntrySettings&, const EntrySettings&) = default;
 };
 
+// How exactly the quotas of tenants are kept.
+struct QuotaSettings {
+  std::chrono::milliseconds m_window{
+      5000};  // sliding window in which the requests of a tenant are counted
+              // (from 100, at most 60000)
+  std::uint16_t m_overage_permille =
+      100;  // permille by which the quota of a window may be exceeded, so that
+            // entry hosts can hold requests in advance (from 0, at most 1000)
+  std::uint32_t m_slack =
+      20;  // requests of a window beyond that (from 0, at most 1000000)
+
+  friend auto operator<=>(const QuotaSettings&, const QuotaSettings&) = default;
+};
+
 // Addresses of a control host.
 struct ControlPeer {
   HostId m_host;        // name of the host
@@ -142,6 +176,7 @@
   std::chrono::milliseconds m_announcement_interval{
       1500};  // interval at which upstreams announce themselves to control
               // hosts (from 50, at most 60000)
+  QuotaSettings m_quotas;  // quotas of tenants, with `discovers_peers`
   bool m_join = false;  // start an empty data folder as a learner instead of a
                         // founding voter
   std::string m_peer_key_file;  // key file for connections between the system's
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -117,6 +117,16 @@
               value.m_connect_timeout);
   reader.Read("retry_budget_permille", Presence::kOptional,
               {std::nullopt, 1000}, value.m_retry_budget_permille);
+  reader.Read("link_kbit_s", Presence::kOptional, {1, 1000000000},
+              value.m_link_kbit_s);
+  reader.Read("reuses_connections", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_reuses_connections);
+  reader.Read("waits_for_room", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_waits_for_room);
+  reader.Read("selects_by_cost", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_selects_by_cost);
+  reader.Read("key_lease_ms", Presence::kOptional, {500, 3600000},
+              value.m_key_lease);
   reader.Read("retry_burst_of_all_hosts", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_retry_burst_of_all_hosts);
   reader.Read("log", Presence::kOptional, {std::nullopt, std::nullopt},
@@ -148,12 +158,37 @@
   PutJson(object, "stop_limit_ms", value.m_stop_limit);
   PutJson(object, "connect_timeout_ms", value.m_connect_timeout);
   PutJson(object, "retry_budget_permille", value.m_retry_budget_permille);
+  PutJson(object, "link_kbit_s", value.m_link_kbit_s);
+  PutJson(object, "reuses_connections", value.m_reuses_connections);
+  PutJson(object, "waits_for_room", value.m_waits_for_room);
+  PutJson(object, "selects_by_cost", value.m_selects_by_cost);
+  PutJson(object, "key_lease_ms", value.m_key_lease);
   PutJson(object, "retry_burst_of_all_hosts", value.m_retry_burst_of_all_hosts);
   PutJson(object, "log", value.m_log);
   PutJson(object, "trace", value.m_trace);
   return object;
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               QuotaSettings& value) {
+  ObjectReader reader(json, path, problems);
+  reader.Read("window_ms", Presence::kOptional, {100, 60000}, value.m_window);
+  reader.Read("overage_permille", Presence::kOptional, {0, 1000},
+              value.m_overage_permille);
+  reader.Read("slack", Presence::kOptional, {0, 1000000}, value.m_slack);
+  reader.RejectUnknownKeys();
+}
+
+boost::json::value ToJson(const QuotaSettings& value) {
+  boost::json::object object;
+  PutJson(object, "window_ms", value.m_window);
+  PutJson(object, "overage_permille", value.m_overage_permille);
+  PutJson(object, "slack", value.m_slack);
+  return object;
+}
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
@@ -193,6 +228,8 @@
   reader.Read("full_voters", Presence::kOptional, {3, 19}, value.m_full_voters);
   reader.Read("announcement_interval_ms", Presence::kOptional, {50, 60000},
               value.m_announcement_interval);
+  reader.Read("quotas", Presence::kOptional, {std::nullopt, std::nullopt},
+              value.m_quotas);
   reader.Read("join", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_join);
   reader.Read("peer_key_file", Presence::kRequired,
@@ -221,6 +258,7 @@
   PutJson(object, "discovers_peers", value.m_discovers_peers);
   PutJson(object, "full_voters", value.m_full_voters);
   PutJson(object, "announcement_interval_ms", value.m_announcement_interval);
+  PutJson(object, "quotas", value.m_quotas);
   PutJson(object, "join", value.m_join);
   PutJson(object, "peer_key_file", value.m_peer_key_file);
   PutJson(object, "operator_key_file", value.m_operator_key_file);
--- a/src/gen/settings_json.h
+++ b/src/gen/settings_json.h
@@ -43,6 +43,12 @@
                EntrySettings& value);
 boost::json::value ToJson(const EntrySettings& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               QuotaSettings& value);
+boost::json::value ToJson(const QuotaSettings& value);
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/types.h
+++ b/src/gen/types.h
@@ -51,6 +51,13 @@
   friend auto operator<=>(const ServiceId&, const ServiceId&) = default;
 };
 
+// Name of a tenant, unique within a deployment.
+struct TenantId {
+  std::string m_value;
+
+  friend auto operator<=>(const TenantId&, const TenantId&) = default;
+};
+
 // Name of an upstream instance, unique within its service.
 struct InstanceId {
   std::string m_value;
@@ -115,6 +122,13 @@
   }
 };
 
+template <>
+struct std::hash<jujube::TenantId> {
+  std::size_t operator()(const jujube::TenantId& id) const noexcept {
+    return std::hash<std::string>{}(id.m_value);
+  }
+};
+
 template <>
 struct std::hash<jujube::InstanceId> {
   std::size_t operator()(const jujube::InstanceId& id) const noexcept {
--- a/src/gen/types_json.cc
+++ b/src/gen/types_json.cc
@@ -63,6 +63,17 @@
   return boost::json::string(value.m_value);
 }
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               TenantId& value) {
+  ParseName(json, path, problems, value.m_value);
+}
+
+boost::json::value ToJson(const TenantId& value) {
+  return boost::json::string(value.m_value);
+}
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/types_json.h
+++ b/src/gen/types_json.h
@@ -43,6 +43,12 @@
                ServiceId& value);
 boost::json::value ToJson(const ServiceId& value);
 
+void ParseJson(const boost::json::value& json,
+               const JsonPath& path,
+               Problems& problems,
+               TenantId& value);
+boost::json::value ToJson(const TenantId& value);
+
 void ParseJson(const boost::json::value& json,
                const JsonPath& path,
                Problems& problems,
--- a/src/gen/types_serialize.h
+++ b/src/gen/types_serialize.h
@@ -36,6 +36,11 @@
   archive(wire::Bounded(value.m_value, wire::kMaxNameBytes));
 }
 
+template <class Archive>
+void serialize(Archive& archive, TenantId& value) {
+  archive(wire::Bounded(value.m_value, wire::kMaxNameBytes));
+}
+
 template <class Archive>
 void serialize(Archive& archive, InstanceId& value) {
   archive(wire::Bounded(value.m_value, wire::kMaxNameBytes));
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -239,6 +239,8 @@
   delta.m_merged = peer.m_merged_version;
   delta.m_presence = m_presence;
   delta.m_omitted = LeavingHosts();
+  delta.m_clock =
+      static_cast<std::uint64_t>(MonoClock::now().time_since_epoch().count());
   return delta;
 }
 
