Send callers of loaded zones elsewhere, overlap pipelined requests

Entry hosts announce their load, and look-ups name hosts of other zones with a share that follows the load in steps.

A request that must not run twice still waits, as the caller sends requests behind a closing response again.

--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -93,6 +93,7 @@
                             }) {}
 
   Status StartOnControlThread(std::optional<Deployment> initial_deployment);
+  net::HttpListenerOptions CallerListenerOptions() const;
   Status StartWorkers();
   Status StartFurtherListeners();
   void RequestStop();
@@ -123,6 +124,17 @@
   return Success();
 }
 
+net::HttpListenerOptions Daemon::State::CallerListenerOptions() const {
+  net::HttpListenerOptions options = m_front_end.m_listener;
+  options.m_max_overlapping = m_shared.m_settings.m_max_pipelined;
+  if (m_front_end.m_may_overlap) {
+    options.m_may_overlap = [this](const RequestHead& head) {
+      return m_front_end.m_may_overlap(m_shared, head);
+    };
+  }
+  return options;
+}
+
 Status Daemon::State::StartWorkers() {
   Endpoint endpoint = m_shared.m_settings.m_caller;
   for (std::size_t i = 1; i < m_threads.size(); ++i) {
@@ -133,7 +145,7 @@
           io,
           m_front_end.m_make_handler(m_shared, m_control.Claims(), io,
                                      m_shared.m_incarnation + i),
-          m_front_end.m_listener));
+          CallerListenerOptions()));
       port = m_workers.back()->m_listener.Listen(endpoint);
     });
     if (!*port)
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -245,6 +245,9 @@
 // Updates the readiness of this host and reports it to the control hosts, which
 // direct callers here only while it is ready.
 void EntryControl::UpdatePresence() {
+  m_load_permille = lookup::QuantizedLoad(
+      m_load_permille,
+      m_shared.m_load_permille.load(std::memory_order_relaxed));
   const bool is_ready = m_feed_state->m_deployment.m_number > 0 &&
                         m_is_config_confirmed && !m_drain &&
                         !m_is_key_lease_expired;
@@ -256,7 +259,8 @@
   m_peers.SetPresence(
       {.m_availability_zone = m_shared.m_settings.m_availability_zone,
        .m_caller = m_shared.m_settings.m_caller,
-       .m_ready = is_ready});
+       .m_ready = is_ready,
+       .m_load_permille = m_load_permille});
   if (is_changed)
     m_peers.SendNow();
 }
@@ -484,19 +488,24 @@
   std::vector<lookup::EntryHostCandidate> candidates;
   for (const EntryHostState& host : m_entry_host_directory.UsableHosts(now)) {
     if (host.m_host != m_shared.m_settings.m_host) {
-      candidates.push_back({.m_zone = host.m_presence.m_availability_zone,
-                            .m_caller_listener = host.m_presence.m_caller});
+      candidates.push_back(
+          {.m_zone = host.m_presence.m_availability_zone,
+           .m_caller_listener = host.m_presence.m_caller,
+           .m_load_permille = host.m_presence.m_load_permille});
     }
   }
   if (IsReady()) {
     candidates.push_back({.m_zone = m_shared.m_settings.m_availability_zone,
-                          .m_caller_listener = m_shared.m_settings.m_caller});
+                          .m_caller_listener = m_shared.m_settings.m_caller,
+                          .m_load_permille = m_load_permille});
   }
   lookup::RegionByZone region_by_zone;
   for (const AvailabilityZone& zone :
        m_feed_state->m_deployment.m_availability_zones)
     region_by_zone[zone.m_name] = zone.m_region;
-  lookup::EntryHostLists lists(candidates, region_by_zone);
+  m_spill_plan =
+      lookup::NextSpillPlan(m_spill_plan, lookup::LoadsByZone(candidates), now);
+  lookup::EntryHostLists lists(candidates, region_by_zone, m_spill_plan);
   if (lists == m_entry_host_lists)
     return;
   m_entry_host_lists = lists;
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -155,7 +155,9 @@
   std::vector<HostId> m_entry_hosts;  // hosts that may forward requests
   membership::EntryHostDirectory m_entry_host_directory;
   lookup::EntryHostLists m_entry_host_lists;  // as published
-  MonoTime m_entry_host_lists_due;  // next time to bring them up to date
+  lookup::SpillPlan m_spill_plan;
+  std::uint16_t m_load_permille = 0;  // of this host, as announced
+  MonoTime m_entry_host_lists_due;    // next time to bring them up to date
   std::atomic<bool> m_is_ready = false;
   bool m_is_view_outdated = true;
   bool m_is_stopped = false;
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -41,6 +41,8 @@
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
   // End of the lease for requests with keys (tenants/key_lease.h).
   std::atomic<MonoTime> m_key_lease_end{MonoTime{}};
+  // Use of the scarcest resource of this host; 0 if it is not measured.
+  std::atomic<std::uint32_t> m_load_permille = 0;
   std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
   // Usable slots of all services. Not part of the view, because ejections and
   // pauses of instances end without a new view.
--- a/src/entry/front_end.h
+++ b/src/entry/front_end.h
@@ -29,6 +29,10 @@
                                  std::uint64_t seed)>
       m_make_handler;
   net::HttpListenerOptions m_listener;
+  // Whether a request may be handled while an earlier one of its connection is
+  // (EntrySettings::m_max_pipelined). May be empty: none may.
+  std::function<bool(const EntryShared& shared, const RequestHead& head)>
+      m_may_overlap;
   std::vector<FrontEndListener> m_further_listeners;
   // Called after SIGHUP, on the signal thread. May be empty. Returns the
   // control hosts named by the settings now, or nothing if they are unreadable.
--- a/src/gen/membership.h
+++ b/src/gen/membership.h
@@ -70,6 +70,8 @@
   AvailabilityZoneId m_availability_zone;  // availability zone of the host
   Endpoint m_caller;                       // its listener for requests
   bool m_ready = false;  // the host has a configuration and accepts requests
+  std::uint16_t m_load_permille = 0;  // use of its scarcest resource, in steps
+                                      // of 125; 0 if it does not measure it
 
   friend auto operator<=>(const EntryPresence&, const EntryPresence&) = default;
 };
--- a/src/gen/membership_json.cc
+++ b/src/gen/membership_json.cc
@@ -97,6 +97,8 @@
               value.m_caller);
   reader.Read("ready", Presence::kOptional, {std::nullopt, std::nullopt},
               value.m_ready);
+  reader.Read("load_permille", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_load_permille);
   reader.RejectUnknownKeys();
 }
 
@@ -105,6 +107,7 @@
   PutJson(object, "availability_zone", value.m_availability_zone);
   PutJson(object, "caller", value.m_caller);
   PutJson(object, "ready", value.m_ready);
+  PutJson(object, "load_permille", value.m_load_permille);
   return object;
 }
 
--- a/src/gen/membership_serialize.h
+++ b/src/gen/membership_serialize.h
@@ -28,7 +28,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, EntryPresence& value) {
-  archive(value.m_availability_zone, value.m_caller, value.m_ready);
+  archive(value.m_availability_zone, value.m_caller, value.m_ready,
+          value.m_load_permille);
 }
 
 template <class Archive>
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -111,6 +111,10 @@
   bool m_reuses_connections =
       false;  // requests that run at most once may use idle connections to
               // upstreams, if these were used a moment ago
+  std::uint16_t m_max_pipelined =
+      1;  // requests of a connection that are handled at the same time, if the
+          // caller sends them without waiting for the responses; only requests
+          // that may run more than once (from 1, at most 64)
   bool m_waits_for_room =
       false;  // a request may wait at this host for room at an upstream, in the
               // order of its priority; otherwise it is refused or queued at the
--- a/src/gen/settings_json.cc
+++ b/src/gen/settings_json.cc
@@ -121,6 +121,8 @@
               value.m_link_kbit_s);
   reader.Read("reuses_connections", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_reuses_connections);
+  reader.Read("max_pipelined", Presence::kOptional, {1, 64},
+              value.m_max_pipelined);
   reader.Read("waits_for_room", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_waits_for_room);
   reader.Read("selects_by_cost", Presence::kOptional,
@@ -160,6 +162,7 @@
   PutJson(object, "retry_budget_permille", value.m_retry_budget_permille);
   PutJson(object, "link_kbit_s", value.m_link_kbit_s);
   PutJson(object, "reuses_connections", value.m_reuses_connections);
+  PutJson(object, "max_pipelined", value.m_max_pipelined);
   PutJson(object, "waits_for_room", value.m_waits_for_room);
   PutJson(object, "selects_by_cost", value.m_selects_by_cost);
   PutJson(object, "key_lease_ms", value.m_key_lease);
--- a/src/lookup/entry_host_lists.cc
+++ b/src/lookup/entry_host_lists.cc
@@ -4,11 +4,12 @@
 
 EntryHostLists::EntryHostLists(
     const std::vector<EntryHostCandidate>& candidates,
-    const RegionByZone& region_by_zone)
+    const RegionByZone& region_by_zone,
+    const SpillPlan& spill)
     : m_default(ChooseEntryHosts(candidates, region_by_zone, {}, {})) {
   for (const auto& [zone, region] : region_by_zone) {
-    m_by_zone[zone] =
-        ChooseEntryHosts(candidates, region_by_zone, zone, region);
+    m_by_zone[zone] = ChooseEntryHosts(candidates, region_by_zone, zone, region,
+                                       spill.ShareOf(zone));
     if (!m_by_region.contains(region)) {
       m_by_region[region] =
           ChooseEntryHosts(candidates, region_by_zone, {}, region);
--- a/src/lookup/entry_host_lists.h
+++ b/src/lookup/entry_host_lists.h
@@ -17,7 +17,8 @@
  public:
   EntryHostLists() = default;
   EntryHostLists(const std::vector<EntryHostCandidate>& candidates,
-                 const RegionByZone& region_by_zone);
+                 const RegionByZone& region_by_zone,
+                 const SpillPlan& spill = {});
 
   // The hosts for callers of the zone; for an unknown zone those of the region,
   // and for an unknown region those of all regions. May be empty.
--- a/src/lookup/entry_host_selection.cc
+++ b/src/lookup/entry_host_selection.cc
@@ -1,6 +1,9 @@
 #include "lookup/entry_host_selection.h"
 
 #include <algorithm>
+#include <cstddef>
+
+#include "core/hash.h"
 
 namespace jujube::lookup {
 namespace {
@@ -10,13 +13,68 @@
 // expires.
 constexpr std::size_t kMinSelectedHosts = 2;
 
+// Hosts that may take callers of the zone: those of its region, or, if there
+// are none, those of other regions.
+std::vector<Endpoint> SpillReceivers(
+    const std::vector<EntryHostCandidate>& candidates,
+    const RegionByZone& region_by_zone,
+    const AvailabilityZoneId& zone,
+    const RegionId& region) {
+  std::vector<Endpoint> of_region;
+  std::vector<Endpoint> of_others;
+  for (const EntryHostCandidate& host : candidates) {
+    if (host.m_zone == zone || host.m_load_permille > kMaxReceiverLoadPermille)
+      continue;
+    const auto entry = region_by_zone.find(host.m_zone);
+    const bool is_same_region =
+        entry != region_by_zone.end() && entry->second == region;
+    (is_same_region ? of_region : of_others).push_back(host.m_caller_listener);
+  }
+  return of_region.size() >= kMinSelectedHosts ? of_region : of_others;
+}
+
+// Adds as many receivers as give the share, a different choice for each zone,
+// so that loaded zones do not all send their callers to the same hosts.
+void AddSpillHosts(std::vector<Endpoint> receivers,
+                   const AvailabilityZoneId& zone,
+                   std::uint32_t spill_permille,
+                   std::vector<Endpoint>& selected) {
+  constexpr std::uint32_t kFullPermille = 1000;
+  const std::size_t count =
+      std::min(receivers.size(), (selected.size() * spill_permille +
+                                  (kFullPermille - spill_permille) / 2) /
+                                     (kFullPermille - spill_permille));
+  const std::uint64_t zone_hash = Hash64(zone.m_value);
+  const auto rank = [&](const Endpoint& host) {
+    return MixHash(zone_hash, Hash64(host.m_address, host.m_port));
+  };
+  std::sort(
+      receivers.begin(), receivers.end(),
+      [&](const Endpoint& a, const Endpoint& b) { return rank(a) < rank(b); });
+  selected.insert(selected.end(), receivers.begin(),
+                  receivers.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
 }  // namespace
 
+ZoneLoads LoadsByZone(const std::vector<EntryHostCandidate>& candidates) {
+  ZoneLoads loads;
+  for (const EntryHostCandidate& host : candidates) {
+    ZoneLoad& load = loads[host.m_zone];
+    ++load.m_hosts;
+    load.m_load_permille += host.m_load_permille;
+  }
+  for (auto& [zone, load] : loads)
+    load.m_load_permille /= load.m_hosts;
+  return loads;
+}
+
 std::vector<Endpoint> ChooseEntryHosts(
     const std::vector<EntryHostCandidate>& candidates,
     const RegionByZone& region_by_zone,
     const AvailabilityZoneId& caller_zone,
-    const RegionId& fallback_region) {
+    const RegionId& fallback_region,
+    std::uint32_t spill_permille) {
   const auto caller_zone_entry = region_by_zone.find(caller_zone);
   const RegionId& caller_region = caller_zone_entry == region_by_zone.end()
                                       ? fallback_region
@@ -37,6 +95,11 @@
       same_region.size() >= kMinSelectedHosts ? same_region : all;
   std::vector<Endpoint>& selected =
       same_zone.size() >= kMinSelectedHosts ? same_zone : region_or_all;
+  if (&selected == &same_zone && spill_permille > 0) {
+    AddSpillHosts(
+        SpillReceivers(candidates, region_by_zone, caller_zone, caller_region),
+        caller_zone, spill_permille, selected);
+  }
   if (selected.size() > kMaxSelectedHosts)
     selected.resize(kMaxSelectedHosts);
   return selected;
--- a/src/lookup/entry_host_selection.h
+++ b/src/lookup/entry_host_selection.h
@@ -8,20 +8,27 @@
 // If the zone has fewer than two, it holds the hosts of the region, and if the
 // region has fewer than two, all hosts: the caller then has another host when
 // one fails. At most the first 64 in the order of `candidates` are returned.
+//
+// With a spill, hosts of other zones are added, so that the caller picks one of
+// them with the probability of the share: those of the region first, and only
+// hosts that have room.
 
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <vector>
 
 #include "gen/types.h"
+#include "lookup/spill_plan.h"
 
 namespace jujube::lookup {
 
 struct EntryHostCandidate {
   AvailabilityZoneId m_zone;
-  Endpoint m_caller_listener;  // where it accepts callers' requests
+  Endpoint m_caller_listener;         // where it accepts callers' requests
+  std::uint32_t m_load_permille = 0;  // as EntryPresence
 
   // clang-tidy 14 takes the 0 of a defaulted comparison for a null pointer.
   // NOLINTNEXTLINE(modernize-use-nullptr)
@@ -37,6 +44,10 @@
     const std::vector<EntryHostCandidate>& candidates,
     const RegionByZone& region_by_zone,
     const AvailabilityZoneId& caller_zone,
-    const RegionId& fallback_region);
+    const RegionId& fallback_region,
+    std::uint32_t spill_permille = 0);
+
+// Mean load of the hosts of each zone.
+ZoneLoads LoadsByZone(const std::vector<EntryHostCandidate>& candidates);
 
 }  // namespace jujube::lookup
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,6 +27,7 @@
 
 #include "core/clock.h"
 #include "net/http_fields.h"
+#include "net/response_order.h"
 
 namespace jujube::net {
 
@@ -50,19 +53,45 @@
 
 }  // namespace
 
+namespace {
+
+// A connection of a caller. Shared by the requests on it that overlap.
+struct Connection {
+  explicit Connection(tcp::socket socket)
+      : m_stream(std::move(socket)),
+        m_buffer(kReadBufferBytes),
+        m_order(m_stream.get_executor()),
+        m_idle_timer(m_stream.get_executor()) {}
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::string m_remote_address;
+  ResponseOrder m_order;
+  asio::steady_timer m_idle_timer;
+  // Called when the caller disconnects, by place of the request. Only for
+  // requests that overlap, while the connection is read for further ones.
+  std::map<std::uint64_t, std::function<void()>> m_watches;
+  bool m_is_caller_gone = false;  // the end of its data was read
+};
+
+}  // namespace
+
 // Parser and serializer of one request and its response.
 struct HttpExchangeState {
-  explicit HttpExchangeState(beast::tcp_stream& stream,
-                             beast::flat_buffer& buffer)
-      : m_stream(stream), m_buffer(buffer) {}
+  explicit HttpExchangeState(const std::shared_ptr<Connection>& connection)
+      : m_connection(connection),
+        m_stream(connection->m_stream),
+        m_buffer(connection->m_buffer) {}
 
+  const std::shared_ptr<Connection> m_connection;
   beast::tcp_stream& m_stream;
   beast::flat_buffer& m_buffer;
+  std::uint64_t m_place = 0;      // in Connection::m_order
+  bool m_is_overlapping = false;  // the connection is read on meanwhile
   http::request_parser<http::buffer_body> m_parser;
   http::response<http::buffer_body> m_response;
   std::optional<http::response_serializer<http::buffer_body>> m_serializer;
   RequestHead m_head;
-  std::string m_remote_address;
   std::chrono::milliseconds m_body_timeout{0};
   std::optional<MonoTime> m_response_deadline;
   const std::atomic<bool>* m_announce_close = nullptr;
@@ -129,7 +158,7 @@
 }
 
 const std::string& HttpExchange::RemoteAddress() const {
-  return m_state.m_remote_address;
+  return m_state.m_connection->m_remote_address;
 }
 
 bool HttpExchange::IsBodyRead() const {
@@ -192,15 +221,24 @@
 asio::awaitable<Status> HttpExchange::Begin(ResponseHead head) {
   HttpExchangeState& state = m_state;
   state.m_response_started = true;
+  if (!co_await state.m_connection->m_order.WaitForTurn(state.m_place)) {
+    co_return MakeError(ErrorCode::kIo,
+                        "caller connection: closed by an earlier response");
+  }
   state.m_response.result(head.m_status);
   state.m_response.version(11);
   for (const Header& header : head.m_headers) {
     if (!IsHopByHop(header.m_name))
       state.m_response.insert(header.m_name, header.m_value);
   }
-  const bool close = state.m_announce_close->load(std::memory_order_relaxed) ||
-                     !state.m_parser.is_done();
+  // Requests behind this one that have been read are still answered.
+  const bool is_last_before_stop =
+      state.m_announce_close->load(std::memory_order_relaxed) &&
+      state.m_connection->m_order.IsLast(state.m_place);
+  const bool close = is_last_before_stop || !state.m_parser.is_done();
   state.m_keep_alive = state.m_parser.keep_alive() && !close;
+  if (!state.m_keep_alive)
+    state.m_connection->m_order.EndWith(state.m_place);
   state.m_response.keep_alive(state.m_keep_alive);
   if (head.m_content_length)
     state.m_response.content_length(*head.m_content_length);
@@ -264,6 +302,8 @@
 }
 
 bool HttpExchange::IsCallerGone() const {
+  if (m_state.m_connection->m_is_caller_gone)
+    return true;
   char byte = 0;
   const ssize_t count = ::recv(m_state.m_stream.socket().native_handle(), &byte,
                                1, MSG_PEEK | MSG_DONTWAIT);
@@ -271,6 +311,14 @@
 }
 
 void HttpExchange::Watch(std::function<void()> on_disconnect) {
+  if (m_state.m_is_overlapping) {
+    Connection& connection = *m_state.m_connection;
+    if (connection.m_is_caller_gone)
+      asio::post(m_state.m_stream.get_executor(), std::move(on_disconnect));
+    else
+      connection.m_watches[m_state.m_place] = std::move(on_disconnect);
+    return;
+  }
   auto watch_active = std::make_shared<bool>(true);
   m_state.m_watch_active = watch_active;
   tcp::socket& socket = m_state.m_stream.socket();
@@ -292,6 +340,7 @@
 }
 
 void HttpExchange::Unwatch() {
+  m_state.m_connection->m_watches.erase(m_state.m_place);
   if (m_state.m_watch_active == nullptr)
     return;
   *m_state.m_watch_active = false;
@@ -306,9 +355,15 @@
 
   asio::awaitable<void> AcceptLoop();
   asio::awaitable<void> ServeConnection(tcp::socket socket);
-  asio::awaitable<bool> ServeRequest(beast::tcp_stream& stream,
-                                     beast::flat_buffer& buffer,
-                                     const std::string& remote_address);
+  // Reads a request head and handles the request, or starts to. Returns false
+  // if no further request is read on the connection.
+  asio::awaitable<bool> ServeRequest(
+      const std::shared_ptr<Connection>& connection);
+  asio::awaitable<bool> ReadHead(HttpExchangeState& state);
+  asio::awaitable<void> Handle(std::shared_ptr<HttpExchangeState> state);
+  bool MayOverlap(const HttpExchangeState& state) const;
+  // Without a request in progress, the connection is closed after a while.
+  void SetIdle(const std::shared_ptr<Connection>& connection);
 
   tcp::acceptor m_acceptor;
   const HttpHandler m_handler;
@@ -348,59 +403,131 @@
   const auto endpoint = socket.remote_endpoint(error);
   const std::string remote_address =
       error ? "" : endpoint.address().to_string();
-  beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer(kReadBufferBytes);
+  const auto connection = std::make_shared<Connection>(std::move(socket));
+  connection->m_remote_address = remote_address;
   try {
-    while (co_await ServeRequest(stream, buffer, remote_address)) {
+    while (co_await ServeRequest(connection)) {
     }
+    co_await connection->m_order.WaitUntilAtMost(0);
   } catch (const std::exception&) {
     // An exception, such as a failed allocation, closes only this connection.
   }
-  stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  connection->m_idle_timer.cancel();
+  m_idle_streams.erase(&connection->m_stream);
+  connection->m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
   m_open_connections.fetch_sub(1, std::memory_order_relaxed);
 }
 
-// Serves one request. Returns false if the connection must be closed.
-asio::awaitable<bool> HttpListener::State::ServeRequest(
-    beast::tcp_stream& stream,
-    beast::flat_buffer& buffer,
-    const std::string& remote_address) {
-  HttpExchangeState state(stream, buffer);
-  state.m_remote_address = remote_address;
-  state.m_body_timeout = m_options.m_body_timeout;
-  state.m_announce_close = &m_announce_close;
+void HttpListener::State::SetIdle(
+    const std::shared_ptr<Connection>& connection) {
+  m_idle_streams.insert(&connection->m_stream);
+  connection->m_idle_timer.expires_after(m_options.m_idle_timeout);
+  connection->m_idle_timer.async_wait(
+      [weak = std::weak_ptr(connection)](const beast::error_code& error) {
+        const auto idle = weak.lock();
+        if (!error && idle && idle->m_order.InProgress() == 0)
+          idle->m_stream.cancel();
+      });
+}
+
+// Reads the next request head. Returns false if there is none.
+asio::awaitable<bool> HttpListener::State::ReadHead(HttpExchangeState& state) {
+  Connection& connection = *state.m_connection;
   state.m_parser.header_limit(
       static_cast<std::uint32_t>(m_options.m_max_header_bytes));
   state.m_parser.body_limit(boost::none);
-  if (m_closed)
-    co_return false;
-  m_idle_streams.insert(&stream);
-  SetTimeout(stream, m_options.m_idle_timeout);
-  auto [error, count] =
-      co_await http::async_read_header(stream, buffer, state.m_parser, kTuple);
-  stream.expires_never();
-  m_idle_streams.erase(&stream);
-  if (error) {
-    if (IsParseError(error))
-      co_await RejectRequestHead(stream, error);
-    co_return false;
+  auto [error, count] = co_await http::async_read_header(
+      connection.m_stream, connection.m_buffer, state.m_parser, kTuple);
+  connection.m_idle_timer.cancel();
+  m_idle_streams.erase(&connection.m_stream);
+  if (!error) {
+    FillRequestHead(state);
+    co_return true;
   }
-  FillRequestHead(state);
-  if (beast::iequals(state.m_parser.get()[http::field::expect],
-                     "100-continue")) {
-    static constexpr std::string_view kContinue =
-        "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(stream, asio::buffer(kContinue), kTuple);
+  // A cancelled read is a decision of this side.
+  connection.m_is_caller_gone =
+      error != asio::error::operation_aborted && !IsParseError(error);
+  if (connection.m_is_caller_gone) {
+    for (auto& [place, on_disconnect] : std::exchange(connection.m_watches, {}))
+      on_disconnect();
   }
-  HttpExchange exchange(state);
-  co_await m_handler(exchange);
-  if (!state.m_response_finished)
+  co_await connection.m_order.WaitUntilAtMost(0);
+  if (IsParseError(error) && !connection.m_order.IsEnded())
+    co_await RejectRequestHead(connection.m_stream, error);
+  co_return false;
+}
+
+bool HttpListener::State::MayOverlap(const HttpExchangeState& state) const {
+  return m_options.m_max_overlapping > 1 && !state.m_head.m_has_body &&
+         state.m_parser.keep_alive() && m_options.m_may_overlap &&
+         m_options.m_may_overlap(state.m_head);
+}
+
+asio::awaitable<bool> HttpListener::State::ServeRequest(
+    const std::shared_ptr<Connection>& connection) {
+  ResponseOrder& order = connection->m_order;
+  const auto state = std::make_shared<HttpExchangeState>(connection);
+  state->m_body_timeout = m_options.m_body_timeout;
+  state->m_announce_close = &m_announce_close;
+  co_await order.WaitUntilAtMost(
+      std::max<std::size_t>(m_options.m_max_overlapping, 1) - 1);
+  if (m_closed || order.IsEnding())
+    co_return false;
+  if (order.InProgress() == 0)
+    SetIdle(connection);
+  if (!co_await ReadHead(*state))
     co_return false;
-  if (!state.m_parser.is_done()) {
-    co_await exchange.ReadAll(kMaxDiscardedBytes);
+  state->m_is_overlapping = MayOverlap(*state);
+  if (!state->m_is_overlapping)
+    co_await order.WaitUntilAtMost(0);
+  // An earlier response announced that the connection is closed, so the caller
+  // sends this request again.
+  if (order.IsEnding())
     co_return false;
+  state->m_place = order.AddRequest();
+  if (state->m_is_overlapping) {
+    asio::co_spawn(connection->m_stream.get_executor(), Handle(state),
+                   asio::detached);
+    co_return true;
+  }
+  co_await Handle(state);
+  co_return !order.IsEnded();
+}
+
+asio::awaitable<void> HttpListener::State::Handle(
+    std::shared_ptr<HttpExchangeState> state) {
+  const auto self = shared_from_this();
+  const std::shared_ptr<Connection> connection = state->m_connection;
+  HttpExchange exchange(*state);
+  try {
+    if (beast::iequals(state->m_parser.get()[http::field::expect],
+                       "100-continue")) {
+      static constexpr std::string_view kContinue =
+          "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(connection->m_stream, asio::buffer(kContinue),
+                                 kTuple);
+    }
+    co_await m_handler(exchange);
+    if (state->m_response_finished && !state->m_parser.is_done())
+      co_await exchange.ReadAll(kMaxDiscardedBytes);
+  } catch (const std::exception&) {
+    // As a handler that returns without a response.
+  }
+  connection->m_watches.erase(state->m_place);
+  const bool is_kept = state->m_response_finished && state->m_keep_alive &&
+                       state->m_parser.is_done();
+  connection->m_order.Finish(state->m_place, is_kept);
+  if (!state->m_is_overlapping)
+    co_return;
+  // The other requests that overlap have no caller any more.
+  if (connection->m_order.IsEnded()) {
+    for (auto& [place, on_disconnect] :
+         std::exchange(connection->m_watches, {}))
+      on_disconnect();
+    connection->m_stream.cancel();  // ends the read of a further request
+  } else if (connection->m_order.InProgress() == 0) {
+    SetIdle(connection);
   }
-  co_return state.m_keep_alive;
 }
 
 HttpListener::HttpListener(asio::io_context& io,
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -27,6 +27,13 @@
 struct HttpListenerOptions {
   std::size_t m_max_connections = 4096;    // further ones are closed
   std::size_t m_max_header_bytes = 16384;  // larger heads get status 431
+  // Number of requests of a connection that are handled at the same time, if
+  // the caller sends them without waiting for the responses, which are sent in
+  // the order of the requests. Requests with a body never overlap.
+  std::size_t m_max_overlapping = 1;
+  // Whether a request may overlap with others: it may run twice, since a caller
+  // sends it again if the connection ends with an earlier response.
+  std::function<bool(const RequestHead&)> m_may_overlap;
   // For the wait for the next request and reading its whole head.
   std::chrono::milliseconds m_idle_timeout{60000};
   // Per read of a body and per write, also of the response head.
--- /dev/null
+++ b/tests/unit/net_http_listener_test.cc
@@ -0,0 +1,265 @@
+// Tests of HttpListener with requests that a caller sends without waiting for
+// the responses.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/http_listener.h"
+#include "unit/net_support.h"
+
+namespace jujube::net {
+namespace {
+
+using asio::ip::tcp;
+using test::IoThread;
+
+// Handles each request when the test lets it, by target.
+class ManualServer {
+ public:
+  explicit ManualServer(std::size_t max_overlapping) {
+    m_thread.Run([&] {
+      HttpListenerOptions options{.m_max_overlapping = max_overlapping};
+      options.m_may_overlap = [](const RequestHead& head) {
+        return head.m_method == "GET";
+      };
+      m_listener = std::make_unique<HttpListener>(
+          m_thread.Context(),
+          [this](HttpExchange& exchange) { return Handle(exchange); }, options);
+      m_port = m_listener->Listen({.m_address = "127.0.0.1"}).value();
+    });
+  }
+  ~ManualServer() {
+    m_thread.Run([&] {
+      for (auto& [target, request] : m_requests)
+        request.m_is_abandoned = true;
+      m_listener->Close();
+      m_listener.reset();
+    });
+    Wake();
+  }
+  ManualServer(const ManualServer&) = delete;
+  ManualServer& operator=(const ManualServer&) = delete;
+
+  tcp::endpoint Address() const {
+    return {asio::ip::address_v4::loopback(), m_port};
+  }
+  HttpListener& Listener() { return *m_listener; }
+  IoThread& Thread() { return m_thread; }
+
+  void WaitUntilStarted(const std::string& target) {
+    m_thread.WaitUntil([&] { return m_requests.contains(target); });
+  }
+  bool IsStarted(const std::string& target) {
+    bool is_started = false;
+    m_thread.Run([&] { is_started = m_requests.contains(target); });
+    return is_started;
+  }
+  void WaitUntilCallerGone(const std::string& target) {
+    m_thread.WaitUntil([&] { return m_requests[target].m_is_caller_gone; });
+  }
+  void Respond(const std::string& target) {
+    m_thread.Run([&] { m_requests[target].m_is_released = true; });
+    Wake();
+  }
+  // Ends the request without a response.
+  void Abandon(const std::string& target) {
+    m_thread.Run([&] { m_requests[target].m_is_abandoned = true; });
+    Wake();
+  }
+
+ private:
+  struct Request {
+    bool m_is_released = false;
+    bool m_is_abandoned = false;
+    bool m_is_caller_gone = false;
+  };
+
+  void Wake() {
+    m_thread.Run([&] {
+      if (m_wake)
+        m_wake->cancel();
+    });
+  }
+
+  asio::awaitable<void> Handle(HttpExchange& exchange) {
+    const std::string target = exchange.Head().m_target;
+    Request& request = m_requests[target];
+    exchange.Watch([&request] { request.m_is_caller_gone = true; });
+    if (!m_wake) {
+      m_wake = std::make_unique<asio::steady_timer>(
+          m_thread.Context(), asio::steady_timer::time_point::max());
+    }
+    while (!request.m_is_released && !request.m_is_abandoned)
+      co_await m_wake->async_wait(asio::as_tuple(asio::use_awaitable));
+    exchange.Unwatch();
+    if (request.m_is_abandoned)
+      co_return;
+    ResponseHead head{.m_status = 200};
+    co_await exchange.Respond(std::move(head), target);
+  }
+
+  IoThread m_thread;
+  std::unique_ptr<HttpListener> m_listener;
+  std::uint16_t m_port = 0;
+  std::map<std::string, Request> m_requests;
+  std::unique_ptr<asio::steady_timer> m_wake;
+};
+
+class Caller {
+ public:
+  explicit Caller(const ManualServer& server) {
+    m_socket.connect(server.Address());
+  }
+  void Send(const std::string& method, const std::string& target) {
+    asio::write(m_socket, asio::buffer(method + " " + target +
+                                       " HTTP/1.1\r\nHost: a\r\n\r\n"));
+  }
+  // Returns the body of the next response, or "closed".
+  std::string Read() {
+    boost::system::error_code error;
+    const std::size_t head_size =
+        asio::read_until(m_socket, m_buffer, "\r\n\r\n", error);
+    if (error)
+      return "closed";
+    std::string head(asio::buffers_begin(m_buffer.data()),
+                     asio::buffers_begin(m_buffer.data()) +
+                         static_cast<std::ptrdiff_t>(head_size));
+    m_buffer.consume(head_size);
+    m_is_closing = head.find("Connection: close") != std::string::npos;
+    const std::size_t field = head.find("Content-Length: ");
+    const std::size_t size = std::stoul(head.substr(field + 16));
+    while (m_buffer.size() < size) {
+      m_buffer.commit(
+          m_socket.read_some(m_buffer.prepare(size - m_buffer.size())));
+    }
+    std::string body(asio::buffers_begin(m_buffer.data()),
+                     asio::buffers_begin(m_buffer.data()) +
+                         static_cast<std::ptrdiff_t>(size));
+    m_buffer.consume(size);
+    return body;
+  }
+  bool IsClosing() const { return m_is_closing; }
+  void Close() { m_socket.close(); }
+
+ private:
+  asio::io_context m_context;
+  tcp::socket m_socket{m_context};
+  asio::streambuf m_buffer;
+  bool m_is_closing = false;
+};
+
+// Guards against a fast request that waits for the slow one before it, and
+// against responses that are sent in another order than the requests.
+TEST(HttpListenerOverlap, RequestsOverlapAndResponsesKeepTheirOrder) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("GET", "/2");
+  caller.Send("GET", "/3");
+  server.WaitUntilStarted("/3");
+  server.Respond("/3");
+  server.Respond("/2");
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+  EXPECT_EQ(caller.Read(), "/2");
+  EXPECT_EQ(caller.Read(), "/3");
+  // The connection is used on.
+  caller.Send("GET", "/4");
+  server.WaitUntilStarted("/4");
+  server.Respond("/4");
+  EXPECT_EQ(caller.Read(), "/4");
+}
+
+// Guards against a request that must not run twice and is started while its
+// connection may still end with an earlier response.
+TEST(HttpListenerOverlap, OtherRequestsWaitForTheEarlierResponses) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("DELETE", "/2");
+  server.WaitUntilStarted("/1");
+  EXPECT_FALSE(server.IsStarted("/2"));
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+  server.WaitUntilStarted("/2");
+  server.Respond("/2");
+  EXPECT_EQ(caller.Read(), "/2");
+}
+
+// Guards against more requests in progress than allowed for a connection.
+TEST(HttpListenerOverlap, NumberOfOverlappingRequestsIsLimited) {
+  ManualServer server(2);
+  Caller caller(server);
+  for (const char* target : {"/1", "/2", "/3"})
+    caller.Send("GET", target);
+  server.WaitUntilStarted("/2");
+  EXPECT_FALSE(server.IsStarted("/3"));
+  server.Respond("/1");
+  server.WaitUntilStarted("/3");
+  server.Respond("/3");
+  server.Respond("/2");
+  EXPECT_EQ(caller.Read(), "/1");
+  EXPECT_EQ(caller.Read(), "/2");
+  EXPECT_EQ(caller.Read(), "/3");
+}
+
+// Guards against a response that the caller would take for that of an earlier
+// request, which ended without one.
+TEST(HttpListenerOverlap, ConnectionEndsWithARequestWithoutResponse) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("GET", "/2");
+  caller.Send("GET", "/3");
+  server.WaitUntilStarted("/3");
+  server.Respond("/3");
+  server.Abandon("/2");
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+  EXPECT_EQ(caller.Read(), "closed");
+}
+
+// Guards against work that goes on for a caller that left.
+TEST(HttpListenerOverlap, AllRequestsLearnThatTheCallerLeft) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("GET", "/2");
+  server.WaitUntilStarted("/2");
+  caller.Close();
+  server.WaitUntilCallerGone("/1");
+  server.WaitUntilCallerGone("/2");
+}
+
+// Guards against a planned stop that closes a connection before all requests
+// that were read from it are answered.
+TEST(HttpListenerOverlap, PlannedStopAnswersAllRequestsThatWereRead) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("GET", "/2");
+  server.WaitUntilStarted("/2");
+  server.Listener().AnnounceClose();
+  server.Respond("/2");
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+  EXPECT_FALSE(caller.IsClosing());
+  EXPECT_EQ(caller.Read(), "/2");
+  EXPECT_TRUE(caller.IsClosing());
+  EXPECT_EQ(caller.Read(), "closed");
+}
+
+}  // namespace
+}  // namespace jujube::net
