Pass bodies on in turn, reuse connections at most once, stream uploads

Cause: on hosts with links of 2.6 to 9.6 Mbit/s a body of 360 KB delays every other message, connects that wait on the host's own link count against the upstream, requests that run at most once never use an idle connection, and an upload is read as a whole before it is passed on.

Change: limits::HostLink gives chunks of large bodies their turn, from one atomic time in each direction. DecideReuse, ConnectLimit, IsSignOfLostUpstream and BodyShare decide about idle connections, connects and bodies; a failed connect states what it waited for. Uploads are sent while they arrive and kept for a second attempt after "not run". All is off without link_kbit_s, reuses_connections or a route of the kind Upload.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -6,11 +6,14 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -23,6 +26,7 @@
 #include "entry/span_scope.h"
 #include "gen/claims.h"
 #include "gen/http.h"
+#include "limits/host_link.h"
 #include "net/http_exchange.h"
 #include "request/attempt.h"
 #include "request/failure_decision.h"
@@ -32,11 +36,25 @@
 
 inline constexpr std::size_t kMaxBufferedResponseBytes = 65536;
 
+// How the body of a request reaches the upstream.
+enum class BodyMode : std::uint8_t {
+  kBuffered,  // read completely before the first attempt
+  kStreamed,  // passed on while it arrives; cannot be sent again
+  kKept,      // passed on while it arrives, and kept to be sent again
+};
+
 // Request as sent to the upstream.
 struct OutgoingRequest {
   RequestHead m_head;
-  std::string m_body;               // buffered body; empty if streamed
-  bool m_is_body_streamed = false;  // read the body from the caller
+  std::string m_body;  // bytes read from the caller and kept
+  BodyMode m_body_mode = BodyMode::kBuffered;
+  std::size_t m_max_body_bytes = SIZE_MAX;  // with kKept
+};
+
+// Limits of an attempt.
+struct AttemptLimits {
+  MonoTime m_deadline;
+  std::chrono::milliseconds m_connect_timeout{0};
 };
 
 struct AttemptResult {
@@ -51,6 +69,8 @@
   bool m_is_cancelled = false;
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
+  // The connect timeout is explained by the link of this host, which was busy.
+  bool m_is_link_busy = false;
   // Not sent: after its selection the instance stated that it wants no
   // requests, or the lease of the caller's key ran out.
   bool m_is_withheld = false;
@@ -63,32 +83,34 @@
                 ConnectionPool& pool,
                 AttemptWatch& watch,
                 const LinkPacer& pacer,
+                limits::HostLink& link,
                 const SendLease& lease,
                 const Route& route,
-                MonoTime deadline,
-                std::chrono::milliseconds connect_timeout,
+                const AttemptLimits& limits,
                 const SpanScope& span)
       : m_exchange(exchange),
         m_pool(pool),
         m_watch(watch),
         m_pacer(pacer),
+        m_link(link),
         m_lease(lease),
         m_route(route),
-        m_deadline(deadline),
-        m_connect_timeout(connect_timeout),
+        m_deadline(limits.m_deadline),
+        m_connect_timeout(limits.m_connect_timeout),
         m_span(span) {}
 
-  // A repeatable request may use an idle connection. While it waits for the
-  // response head, it is cancelled if the caller disconnects or the instance is
-  // ejected or gone.
+  // Idle connections are used as DecideReuse (entry/connection_reuse.h) allows.
+  // While a repeatable request waits for the response head, it is cancelled if
+  // the caller disconnects or the instance is ejected or gone. Once a
+  // non-repeatable request is being sent, it continues even if the caller
+  // disconnects.
   //
-  // A non-repeatable request gets a new connection unless the dialect allows
-  // reuse: after a failed write on an idle connection that is being closed, it
-  // is unknown whether the request ran. Once sending has started, it continues
-  // even if the caller disconnects.
+  // With BodyMode::kKept, bytes read from the caller are appended to the body
+  // of the request. A response that arrives before the end of the body ends the
+  // sending, and the connection is closed after the response.
   boost::asio::awaitable<AttemptResult> Run(
       const steering::Selection& selection,
-      const OutgoingRequest& request,
+      OutgoingRequest& request,
       bool is_repeatable);
 
  private:
@@ -98,11 +120,27 @@
   void SetFailure(Failure failure, const Error& error);
   boost::asio::awaitable<bool> OpenConnection(
       const steering::Selection& selection);
+  boost::asio::awaitable<bool> ConnectNew(const steering::Selection& selection);
+  // Records a failed connect and what it may have waited for.
+  void SetConnectFailure(const Error& error,
+                         MonoTime started,
+                         bool was_link_busy,
+                         bool is_expired);
   boost::asio::awaitable<bool> SendRequest(
-      const OutgoingRequest& request,
+      OutgoingRequest& request,
       const steering::InstanceCounters& counters);
+  // Sends the body. Returns true as well if a response that arrived ended it.
+  boost::asio::awaitable<bool> SendRequestBody(OutgoingRequest& request);
   boost::asio::awaitable<bool> SendBodyChunk(std::string_view data);
+  // Sends a chunk of a large body in its turn.
+  boost::asio::awaitable<bool> SendInTurn(std::string_view data);
+  boost::asio::awaitable<bool> SendBufferedBody(std::string_view body);
   boost::asio::awaitable<bool> StreamRequestBody();
+  boost::asio::awaitable<bool> SendKeptBody(OutgoingRequest& request);
+  // Reads the next bytes of the body from the caller in their turn. Returns 0
+  // at the end or if a response has arrived, nullopt on failure.
+  boost::asio::awaitable<std::optional<std::size_t>> ReadCallerChunk(
+      std::span<char> buffer);
   boost::asio::awaitable<std::optional<ResponseHead>> ReadHead(
       const steering::InstanceCounters& counters);
   // Records what the instance states about itself.
@@ -126,6 +164,7 @@
   ConnectionPool& m_pool;
   AttemptWatch& m_watch;
   const LinkPacer& m_pacer;
+  limits::HostLink& m_link;
   const SendLease& m_lease;
   const Route& m_route;
   const MonoTime m_deadline;
@@ -133,6 +172,10 @@
   bool m_is_repeatable = true;
   const SpanScope& m_span;  // span of the attempt
   std::unique_ptr<net::HttpConnection> m_connection;
+  std::optional<std::chrono::seconds> m_stated_idle_timeout;
+  bool m_is_answered_early = false;   // bytes arrived while the body was sent
+  bool m_is_body_unfinished = false;  // the upstream is owed bytes of it
+  std::size_t m_response_body_bytes = 0;
   AttemptResult m_result;
 };
 
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -9,6 +9,9 @@
 #include <chrono>
 #include <utility>
 
+#include "entry/connect_limit.h"
+#include "entry/connection_reuse.h"
+#include "entry/link_turn.h"
 #include "entry/refusal.h"
 #include "net/http_fields.h"
 #include "observe/log.h"
@@ -22,9 +25,12 @@
 inline constexpr std::size_t kChunkBytes = 16384;
 inline constexpr std::uint16_t kMisdirectedRequest = 421;
 
-// Added to the connect timeout, in one-way delays of the link. The TCP
-// handshake takes two; the other two are for a busy instance that accepts late.
-inline constexpr int kConnectOneWayDelays = 4;
+// An upstream that does not read on for this time while an upload is sent to it
+// is left. Slow readers pause for a second or two at most.
+inline constexpr std::chrono::seconds kMaxSendStall{5};
+
+// Estimated size of the head of a message.
+inline constexpr std::size_t kHeadBytes = kChunkBytes / 16;
 
 // The body of a refusal is read only so that its connection can be kept.
 inline constexpr std::chrono::milliseconds kRefusalBodyTimeout{250};
@@ -52,7 +58,7 @@
 template <Dialect D>
 asio::awaitable<AttemptResult> AttemptRunner<D>::Run(
     const steering::Selection& selection,
-    const OutgoingRequest& request,
+    OutgoingRequest& request,
     bool is_repeatable) {
   m_is_repeatable = is_repeatable;
   // Each span ends with its step or, on failure, when this function returns.
@@ -74,8 +80,15 @@
       co_await ReadHead(*selection.m_slot.Counters());
   if (!head) {
     response.SetFailed();
+    if (m_result.m_attempt.m_is_reused_connection &&
+        *m_result.m_failure == Failure::kResponseTruncated &&
+        !m_result.m_is_cancelled)
+      m_pool.OnReuseFailed(MonoClock::now());
     co_return std::move(m_result);
   }
+  const auto keep_alive = net::FindHeader(head->m_headers, "Keep-Alive");
+  if (keep_alive)
+    m_stated_idle_timeout = ParseKeepAliveTimeout(*keep_alive);
   response.SetAttribute("http.status", head->m_status);
   RecordReport(*head, selection);
   const bool has_body = request.m_head.m_method != "HEAD";
@@ -88,9 +101,12 @@
   const bool is_connection_kept =
       !m_result.m_failure ||
       (*m_result.m_failure == Failure::kNotStarted && names_request);
-  if (is_connection_kept && m_connection != nullptr) {
+  // Bytes owed to the upstream must not be replaced by those of another
+  // request.
+  if (is_connection_kept && !m_is_body_unfinished && m_connection != nullptr) {
     m_pool.Return(selection.m_endpoint, selection.m_incarnation,
-                  std::move(m_connection), MonoClock::now());
+                  std::move(m_connection), m_stated_idle_timeout,
+                  MonoClock::now());
   }
   co_return std::move(m_result);
 }
@@ -98,45 +114,84 @@
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::OpenConnection(
     const steering::Selection& selection) {
-  const MonoTime now = MonoClock::now();
-  if (m_is_repeatable || D::kReusesConnectionsForNonRepeatable) {
-    m_connection =
-        m_pool.TakeIdle(selection.m_endpoint, selection.m_incarnation, now);
-  }
+  m_connection = m_pool.TakeIdle(selection.m_endpoint, selection.m_incarnation,
+                                 m_is_repeatable, MonoClock::now());
   if (m_connection != nullptr) {
     m_result.m_attempt.m_is_reused_connection = true;
     m_connection->SetDeadline(m_deadline);
     co_return true;
   }
+  co_return co_await ConnectNew(selection);
+}
+
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::ConnectNew(
+    const steering::Selection& selection) {
+  const MonoTime now = MonoClock::now();
   m_connection = m_pool.MakeConnection();
   if (D::kTakesCloseDelimited)
     m_connection->TakeCloseDelimited();
+  const bool was_link_busy = m_link.IsBusy(now);
   const MonoTime connect_deadline =
-      now + m_connect_timeout +
-      attempt_internal::kConnectOneWayDelays * selection.m_delay;
+      now + ConnectLimit(
+                {.m_timeout = m_connect_timeout,
+                 .m_one_way_delay = selection.m_delay,
+                 .m_link_backlog = m_link.Backlog(limits::LinkSide::kOut, now) +
+                                   m_link.Backlog(limits::LinkSide::kIn, now),
+                 .m_remaining = m_deadline - now});
   m_connection->SetDeadline(std::min(m_deadline, connect_deadline));
   const Status connected = co_await m_connection->Connect(selection.m_endpoint);
   m_connection->SetDeadline(m_deadline);
-  if (connected)
+  if (connected) {
+    m_pool.OnConnected(now);
     co_return true;
-  SetFailure(Failure::kConnectFailed, connected.error());
-  m_result.m_is_connect_timeout =
-      connect_deadline < m_deadline &&
-      attempt_internal::IsTimeout(connected.error());
+  }
+  SetConnectFailure(connected.error(), now, was_link_busy,
+                    connect_deadline < m_deadline);
+  co_return false;
+}
+
+template <Dialect D>
+void AttemptRunner<D>::SetConnectFailure(const Error& error,
+                                         MonoTime started,
+                                         bool was_link_busy,
+                                         bool is_expired) {
+  SetFailure(Failure::kConnectFailed, error);
+  const MonoTime now = MonoClock::now();
+  const bool is_timeout = attempt_internal::IsTimeout(error);
+  m_result.m_is_connect_timeout = is_expired && is_timeout;
   // The request deadline has not passed, so another instance can be tried.
   if (m_result.m_is_connect_timeout)
     m_result.m_failure = Failure::kConnectFailed;
-  co_return false;
+  if (!is_timeout)
+    return;
+  const bool is_other_connected = m_pool.LastConnectedAt() > started;
+  m_result.m_is_link_busy = !IsSignOfLostUpstream(
+      {.m_was_link_busy = was_link_busy || m_link.IsBusy(now),
+       .m_did_other_succeed = is_other_connected});
+  const auto to_ms = [](MonoClock::duration duration) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+            .count());
+  };
+  const auto state_of = [&](limits::LinkSide side) {
+    return std::to_string(m_link.UtilizationPermille(side, now)) +
+           " permille, queue " + to_ms(m_link.Backlog(side, now)) + " ms";
+  };
+  m_result.m_error +=
+      " after " + to_ms(now - started) + " ms; link out " +
+      state_of(limits::LinkSide::kOut) + ", in " +
+      state_of(limits::LinkSide::kIn) +
+      (is_other_connected ? "; other connects succeeded meanwhile" : "");
 }
 
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendRequest(
-    const OutgoingRequest& request,
+    OutgoingRequest& request,
     const steering::InstanceCounters& counters) {
-  // kChunkBytes / 16 is an estimate of the size of the request head.
   const bool has_capacity = co_await m_pacer.WaitForCapacity(
       LinkDirection::kToUpstream,
-      request.m_body.size() + attempt_internal::kChunkBytes / 16, m_deadline);
+      request.m_body.size() + attempt_internal::kHeadBytes, m_deadline);
   if (!has_capacity) {
     SetFailure(Failure::kTimeout,
                MakeError(ErrorCode::kTimeout,
@@ -165,26 +220,152 @@
     co_return false;
   }
   RecordEvent(request::AttemptEvent::kSendStarted);
+  m_link.Record(limits::LinkSide::kOut, attempt_internal::kHeadBytes,
+                MonoClock::now());
   const Status sent = co_await m_connection->SendHead(request.m_head);
   if (!sent) {
     SetFailure(Failure::kWriteFailed, sent.error());
     co_return false;
   }
-  if (request.m_head.m_has_body) {
-    if (!co_await SendBodyChunk(request.m_body))
-      co_return false;
-    if (request.m_is_body_streamed && !co_await StreamRequestBody())
-      co_return false;
-    const Status ended = co_await m_connection->EndBody();
-    if (!ended) {
-      SetFailure(Failure::kWriteFailed, ended.error());
+  if (request.m_head.m_has_body && !co_await SendRequestBody(request))
+    co_return false;
+  if (!m_is_body_unfinished)
+    RecordEvent(request::AttemptEvent::kSent);
+  co_return true;
+}
+
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendRequestBody(
+    OutgoingRequest& request) {
+  bool is_sent = false;
+  switch (request.m_body_mode) {
+    case BodyMode::kBuffered:
+      is_sent = co_await SendBufferedBody(request.m_body);
+      break;
+    case BodyMode::kStreamed:
+      is_sent = co_await SendBufferedBody(request.m_body) &&
+                co_await StreamRequestBody();
+      break;
+    case BodyMode::kKept:
+      m_is_body_unfinished = true;
+      m_connection->WatchInput([this] {
+        m_is_answered_early = true;
+        m_exchange.CancelRead();
+        m_connection->CancelOperations();
+      });
+      is_sent = co_await SendKeptBody(request);
+      m_connection->UnwatchInput();
+      m_connection->SetDeadline(m_deadline);
+      // An upstream that stops reading may have answered. Its response states
+      // what became of the request.
+      if (m_is_answered_early ||
+          (m_result.m_failure &&
+           *m_result.m_failure == Failure::kWriteFailed)) {
+        m_result.m_failure.reset();
+        m_result.m_error.clear();
+        co_return true;
+      }
+      break;
+  }
+  if (!is_sent)
+    co_return false;
+  const Status ended = co_await m_connection->EndBody();
+  if (!ended) {
+    SetFailure(Failure::kWriteFailed, ended.error());
+    co_return false;
+  }
+  m_is_body_unfinished = false;
+  co_return true;
+}
+
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendBufferedBody(
+    std::string_view body) {
+  if (!m_link.HasRate() || body.size() <= limits::HostLink::kMaxSmallBytes) {
+    m_link.Record(limits::LinkSide::kOut, body.size(), MonoClock::now());
+    co_return co_await SendBodyChunk(body);
+  }
+  while (!body.empty()) {
+    const std::string_view chunk = body.substr(0, m_link.ChunkBytes());
+    if (!co_await SendInTurn(chunk))
       co_return false;
+    body.remove_prefix(chunk.size());
+  }
+  co_return true;
+}
+
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendInTurn(std::string_view data) {
+  if (!co_await WaitForTurn(m_link, limits::LinkSide::kOut, data.size(),
+                            m_deadline)) {
+    SetFailure(Failure::kTimeout,
+               MakeError(ErrorCode::kTimeout,
+                         "link of this host: no turn before the deadline"));
+    co_return false;
+  }
+  co_return co_await SendBodyChunk(data);
+}
+
+template <Dialect D>
+asio::awaitable<bool> AttemptRunner<D>::SendKeptBody(OutgoingRequest& request) {
+  const std::size_t chunk_bytes = m_link.ChunkBytes();
+  std::array<char, attempt_internal::kChunkBytes> buffer{};
+  std::size_t sent = 0;
+  while (!m_is_answered_early) {
+    if (sent == request.m_body.size()) {
+      if (m_exchange.IsBodyRead())
+        co_return true;
+      const std::optional<std::size_t> count =
+          co_await ReadCallerChunk(std::span(buffer).first(chunk_bytes));
+      if (!count)
+        co_return false;
+      if (request.m_body.size() + *count > request.m_max_body_bytes) {
+        SetFailure(Failure::kCallerDisconnected,
+                   MakeError(ErrorCode::kInvalidInput,
+                             "the body is larger than allowed"));
+        co_return false;
+      }
+      request.m_body.append(buffer.data(), *count);
+      if (*count == 0)
+        continue;
     }
+    const std::string_view chunk =
+        std::string_view(request.m_body).substr(sent, chunk_bytes);
+    m_connection->SetDeadline(
+        std::min(m_deadline,
+                 MonoClock::now() + attempt_internal::kMaxSendStall +
+                     m_link.Backlog(limits::LinkSide::kOut, MonoClock::now())));
+    if (!co_await SendInTurn(chunk))
+      co_return false;
+    sent += chunk.size();
   }
-  RecordEvent(request::AttemptEvent::kSent);
   co_return true;
 }
 
+template <Dialect D>
+asio::awaitable<std::optional<std::size_t>> AttemptRunner<D>::ReadCallerChunk(
+    std::span<char> buffer) {
+  const Result<std::size_t> count = co_await m_exchange.ReadSome(buffer);
+  if (!count && m_is_answered_early)
+    co_return 0;
+  if (!count) {
+    SetFailure(Failure::kCallerDisconnected, count.error());
+    co_return std::nullopt;
+  }
+  const bool has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kIn,
+                                             count.value(), m_deadline);
+  const bool has_capacity =
+      has_turn && co_await m_pacer.WaitForCapacity(LinkDirection::kToUpstream,
+                                                   count.value(), m_deadline);
+  if (!has_capacity) {
+    SetFailure(Failure::kTimeout,
+               MakeError(ErrorCode::kTimeout,
+                         "link rate limit: no capacity before the deadline"));
+    co_return std::nullopt;
+  }
+  co_return count.value();
+}
+
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendBodyChunk(std::string_view data) {
   const Status sent = co_await m_connection->SendBody(data);
@@ -195,23 +376,15 @@
 
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::StreamRequestBody() {
-  std::array<char, attempt_internal::kChunkBytes> chunk{};
+  std::array<char, attempt_internal::kChunkBytes> buffer{};
   while (true) {
-    const Result<std::size_t> count = co_await m_exchange.ReadSome(chunk);
-    if (!count) {
-      SetFailure(Failure::kCallerDisconnected, count.error());
+    const std::optional<std::size_t> count =
+        co_await ReadCallerChunk(std::span(buffer).first(m_link.ChunkBytes()));
+    if (!count)
       co_return false;
-    }
-    if (count.value() == 0)
+    if (*count == 0)
       co_return true;
-    if (!co_await m_pacer.WaitForCapacity(LinkDirection::kToUpstream,
-                                          count.value(), m_deadline)) {
-      SetFailure(Failure::kTimeout,
-                 MakeError(ErrorCode::kTimeout,
-                           "link rate limit: no capacity before the deadline"));
-      co_return false;
-    }
-    if (!co_await SendBodyChunk({chunk.data(), count.value()}))
+    if (!co_await SendInTurn({buffer.data(), *count}))
       co_return false;
   }
 }
@@ -257,11 +430,22 @@
 template <Dialect D>
 asio::awaitable<std::optional<std::size_t>> AttemptRunner<D>::ReadBodyChunk(
     std::span<char> buffer) {
-  const Result<std::size_t> count = co_await m_connection->ReadSome(buffer);
+  const Result<std::size_t> count = co_await m_connection->ReadSome(
+      buffer.first(std::min(buffer.size(), m_link.ChunkBytes())));
   if (!count) {
     SetFailure(Failure::kResponseTruncated, count.error());
     co_return std::nullopt;
   }
+  m_response_body_bytes += count.value();
+  if (m_response_body_bytes <= limits::HostLink::kMaxSmallBytes) {
+    m_link.Record(limits::LinkSide::kIn, count.value(), MonoClock::now());
+  } else if (!co_await WaitForTurn(m_link, limits::LinkSide::kIn, count.value(),
+                                   m_deadline)) {
+    SetFailure(Failure::kTimeout,
+               MakeError(ErrorCode::kTimeout,
+                         "link of this host: no turn before the deadline"));
+    co_return std::nullopt;
+  }
   if (!co_await m_pacer.WaitForCapacity(LinkDirection::kFromUpstream,
                                         count.value(), m_deadline)) {
     SetFailure(Failure::kTimeout,
@@ -362,8 +546,9 @@
   };
   m_result.m_is_head_forwarded = true;
   Status status = co_await m_exchange.Begin(head);
-  if (status)
-    status = co_await m_exchange.Write(buffered);
+  if (status) {
+    status = co_await WriteInTurn(m_exchange, m_link, buffered, m_deadline);
+  }
   if (!status) {
     set_caller_gone(status);
     co_return;
@@ -375,7 +560,8 @@
       co_return;
     if (*count == 0)
       break;
-    status = co_await m_exchange.Write({chunk.data(), *count});
+    status = co_await WriteInTurn(m_exchange, m_link, {chunk.data(), *count},
+                                  m_deadline);
     if (!status) {
       set_caller_gone(status);
       co_return;
--- a/src/entry/dialect.h
+++ b/src/entry/dialect.h
@@ -8,8 +8,6 @@
 //   claimed at the control hosts.
 // - kTakesCloseDelimited: a response without a length may end with an orderly
 //   close of its connection.
-// - kReusesConnectionsForNonRepeatable: a non-repeatable request may use an
-//   idle connection.
 // - Parse: returns the route of a request; called in an RCU read section.
 // - UpstreamHead: builds the head of the request for the upstream from the
 //   caller's head, the route, the remaining time, the traceparent (empty: none)
@@ -52,7 +50,6 @@
                            const Refusal& refusal) {
   { D::kUsesClaims } -> std::convertible_to<bool>;
   { D::kTakesCloseDelimited } -> std::convertible_to<bool>;
-  { D::kReusesConnectionsForNonRepeatable } -> std::convertible_to<bool>;
   { D::Parse(request, view) } -> std::same_as<Result<Route>>;
   {
     D::UpstreamHead(request, route, remaining, std::string_view(), selection)
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -426,6 +426,8 @@
 
 void EntryControl::PublishView() {
   m_is_view_outdated = false;
+  m_shared.m_entry_hosts.store(static_cast<std::uint32_t>(m_entry_hosts.size()),
+                               std::memory_order_relaxed);
   m_published_registry_version = m_registry.Version();
   const std::vector<Drain> drains = ActiveDrains();
   const membership::RegistrySnapshot snapshot = m_registry.Snapshot();
--- a/src/entry/entry_shared.cc
+++ b/src/entry/entry_shared.cc
@@ -16,6 +16,7 @@
       m_view(std::make_unique<const ServingView>(std::move(initial_view))),
       m_entry_host_lists(std::make_unique<const lookup::EntryHostLists>()),
       m_body_bytes(std::make_shared<limits::LimitCell>()),
+      m_link(m_settings.m_link_kbit_s),
       m_spans(m_settings.m_trace, m_settings.m_host.m_value),
       m_lookups(observe::CounterOf(Metric::kLookups)),
       m_not_run(
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -11,6 +11,7 @@
 #include "entry/serving_view.h"
 #include "gen/settings.h"
 #include "gen/types.h"
+#include "limits/host_link.h"
 #include "limits/limit_cell.h"
 #include "lookup/entry_host_lists.h"
 #include "observe/counter.h"
@@ -47,6 +48,9 @@
   std::atomic<std::uint32_t> m_host_cap = 0;
   // Memory for request bodies of all worker threads (EntrySettings).
   const std::shared_ptr<limits::LimitCell> m_body_bytes;
+  limits::HostLink m_link;  // of this host (EntrySettings)
+  // Entry hosts of the deployment, for bounds that all of them share.
+  std::atomic<std::uint32_t> m_entry_hosts = 1;
   std::atomic<std::uint64_t> m_next_claim_attempt = 1;  // numbers claims
 
   observe::SpanExporter m_spans;  // thread-safe
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -19,6 +19,7 @@
 
 #include "entry/attempt_runner.h"
 #include "entry/attempt_watch.h"
+#include "entry/body_share.h"
 #include "entry/connection_pool.h"
 #include "entry/dialect.h"
 #include "entry/entry_shared.h"
@@ -67,13 +68,18 @@
   boost::asio::awaitable<std::optional<Refusal>> ReadBody(
       net::HttpExchange& exchange,
       Request& request);
-  // Returns true if the claim was granted; otherwise the response is sent.
+  // Reads the beginning of an upload, whose rest is passed on as it arrives.
+  boost::asio::awaitable<std::optional<Refusal>> BeginUpload(
+      net::HttpExchange& exchange,
+      Request& request,
+      std::uint64_t content_length);
   Refusal RefuseBody(Request& request, const std::string& reason);
   static boost::asio::awaitable<Status> ReadBeginning(
       net::HttpExchange& exchange,
       std::string* beginning);
   // Reserves memory for a large body. False if there is none.
   bool TryReserveBody(Request& request, std::uint64_t content_length) const;
+  // Returns true if the claim was granted; otherwise the response is sent.
   boost::asio::awaitable<bool> AcquireClaim(net::HttpExchange& exchange,
                                             Request& request);
   boost::asio::awaitable<void> Forward(net::HttpExchange& exchange,
@@ -83,7 +89,12 @@
       Request& request,
       steering::Selection& selection,
       SpanScope& span);
-  std::optional<steering::Selection> Select(Request& request);
+  // Bytes that the body of an upload takes at an upstream; 0 for other
+  // requests.
+  static std::uint64_t LargeBodyBytes(net::HttpExchange& exchange,
+                                      const Request& request);
+  std::optional<steering::Selection> Select(net::HttpExchange& exchange,
+                                            Request& request);
   // Makes the next renewal of allotments ask for more slots of the service.
   void RecordUnmetDemand(const ServingView& view,
                          const steering::ServiceUpstreams& service);
@@ -109,6 +120,7 @@
   EntryShared& m_shared;
   ClaimClient& m_claims;
   ConnectionPool m_pool;
+  BodyShare m_body_share;
   AttemptWatch m_watch;
   Tracer m_tracer;
   RequestMetrics m_metrics;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -13,6 +13,7 @@
 #include "entry/attempt_runner_impl.h"
 #include "entry/caller_key.h"
 #include "entry/claim_client.h"
+#include "entry/link_turn.h"
 #include "entry/refusal.h"
 #include "limits/topology.h"
 #include "net/http_exchange.h"
@@ -40,7 +41,17 @@
 // an affinity key may all be in an availability zone that lost power.
 inline constexpr std::uint32_t kMaxConnectTimeouts = 4;
 
+// An upload is passed on once this much of it has arrived, so that a caller
+// that sends nothing occupies no upstream.
+inline constexpr std::size_t kMinUploadBeginning = 4096;
+
+// The rest of an upload that was answered early is read so that the caller gets
+// the response, up to this size and time.
+inline constexpr std::size_t kMaxDiscardedUploadBytes = 512U << 10U;
+inline constexpr std::chrono::seconds kMaxDiscardTime{2};
+
 inline constexpr std::uint16_t kMinServerError = 500;
+inline constexpr std::uint16_t kRequestTimeout = 408;
 inline constexpr std::uint16_t kServiceUnavailable = 503;
 // Retry-After if the route could not be determined. A slot becomes free or a
 // new configuration arrives within about a second.
@@ -68,11 +79,11 @@
   if (*result.m_failure == request::AttemptFailure::kNotStarted)
     return result.m_is_misdirected ? steering::Outcome::kGone
                                    : steering::Outcome::kShed;
-  if (result.m_is_connect_timeout)
+  if (result.m_is_connect_timeout && !result.m_is_link_busy)
     return steering::Outcome::kUnreachable;
   // The instance was ejected or is gone because of other requests, which have
   // been counted, or it got no request.
-  if (result.m_is_cancelled || result.m_is_withheld)
+  if (result.m_is_cancelled || result.m_is_withheld || result.m_is_link_busy)
     return std::nullopt;
   const request::FailureDecision decision = request::DecideOnFailure(
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
@@ -172,7 +183,9 @@
                            std::uint64_t seed)
     : m_shared(shared),
       m_claims(claims),
-      m_pool(executor, shared.m_settings.m_pool_per_instance),
+      m_pool(executor,
+             shared.m_settings.m_pool_per_instance,
+             shared.m_settings.m_reuses_connections),
       m_watch(executor),
       m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
       m_random(seed + 1),
@@ -214,6 +227,8 @@
     co_await Refuse(exchange, &request, *refusal);
     co_return;
   }
+  m_shared.m_link.Record(limits::LinkSide::kIn, attempt_internal::kHeadBytes,
+                         request.m_received_at);
   // A caller that stops reading must not keep the instance and the connections
   // occupied after the deadline.
   exchange.SetResponseDeadline(request.m_deadline.m_time);
@@ -455,10 +470,14 @@
     co_return std::nullopt;
   const std::uint64_t content_length =
       head.m_content_length.value_or(UINT64_MAX);
+  // A claim needs the digest of the whole body.
+  if (request.m_route.m_is_upload && !request.m_is_repeatable &&
+      !D::kUsesClaims)
+    co_return co_await BeginUpload(exchange, request, content_length);
   const bool is_small =
       content_length <= forwarder_internal::kMaxBufferedBodyBytes;
   if (!is_small && request.m_is_repeatable) {
-    outgoing.m_is_body_streamed = true;
+    outgoing.m_body_mode = BodyMode::kStreamed;
     co_return std::nullopt;
   }
   std::string beginning;
@@ -479,7 +498,7 @@
     // The instance waits for the rest of the body, and the request cannot be
     // sent again, which is better for the caller than a refusal.
     outgoing.m_body = std::move(beginning);
-    outgoing.m_is_body_streamed = true;
+    outgoing.m_body_mode = BodyMode::kStreamed;
     co_return std::nullopt;
   }
   const std::size_t max_bytes = request.m_service.m_max_body_bytes;
@@ -496,6 +515,50 @@
   co_return std::nullopt;
 }
 
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<std::optional<Refusal>> Forwarder<D, P>::BeginUpload(
+    net::HttpExchange& exchange,
+    Request& request,
+    std::uint64_t content_length) {
+  const std::size_t max_bytes = request.m_service.m_max_body_bytes;
+  if (content_length != UINT64_MAX && content_length > max_bytes) {
+    co_return RefuseBody(request, "the body is larger than " +
+                                      std::to_string(max_bytes) + " bytes");
+  }
+  OutgoingRequest& outgoing = request.m_outgoing;
+  outgoing.m_body_mode = BodyMode::kKept;
+  outgoing.m_max_body_bytes = max_bytes;
+  exchange.SetBodyDeadline(request.m_deadline.m_time);
+  std::array<char, attempt_internal::kChunkBytes> chunk{};
+  while (outgoing.m_body.size() < forwarder_internal::kMinUploadBeginning &&
+         !exchange.IsBodyRead()) {
+    const Result<std::size_t> count = co_await exchange.ReadSome(chunk);
+    if (!count && count.error().m_code == ErrorCode::kTimeout) {
+      m_metrics.CountRefusal(RefusalCause::kBadBody);
+      co_return Refusal{.m_status = forwarder_internal::kRequestTimeout,
+                        .m_reason = count.error().m_message};
+    }
+    if (!count)
+      co_return RefuseBody(request, count.error().m_message);
+    m_shared.m_link.Record(limits::LinkSide::kIn, count.value(),
+                           MonoClock::now());
+    outgoing.m_body.append(chunk.data(), count.value());
+  }
+  if (exchange.IsBodyRead()) {
+    outgoing.m_body_mode = BodyMode::kBuffered;
+    co_return std::nullopt;
+  }
+  // Without memory for a copy, the body can be sent only once.
+  if (!TryReserveBody(request, content_length)) {
+    outgoing.m_body_mode = BodyMode::kStreamed;
+    co_return std::nullopt;
+  }
+  // Growing in steps would take up to twice the size while it is copied.
+  if (content_length != UINT64_MAX)
+    outgoing.m_body.reserve(content_length);
+  co_return std::nullopt;
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 Refusal Forwarder<D, P>::RefuseBody(Request& request,
                                     const std::string& reason) {
@@ -599,7 +662,7 @@
     }
     SpanScope attempt = request.m_span.Child("attempt");
     SpanScope step = attempt.Child("select");
-    std::optional<steering::Selection> selection = Select(request);
+    std::optional<steering::Selection> selection = Select(exchange, request);
     step.End();
     if (!selection) {
       attempt.SetFailed();
@@ -658,9 +721,22 @@
 }
 
 template <Dialect D, steering::SelectionPolicy P>
-std::optional<steering::Selection> Forwarder<D, P>::Select(Request& request) {
+std::uint64_t Forwarder<D, P>::LargeBodyBytes(net::HttpExchange& exchange,
+                                              const Request& request) {
+  if (!request.m_route.m_is_upload)
+    return 0;
+  return std::max<std::uint64_t>(exchange.Head().m_content_length.value_or(
+                                     forwarder_internal::kMaxBufferedBodyBytes),
+                                 request.m_outgoing.m_body.size());
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<steering::Selection> Forwarder<D, P>::Select(
+    net::HttpExchange& exchange,
+    Request& request) {
   std::vector<RegionId> full_regions;
   std::vector<InstanceId> excluded = request.m_tried_instances;
+  const std::uint64_t body_bytes = LargeBodyBytes(exchange, request);
   const rcu::ReadSection section;
   const ServingView& view = m_shared.m_view.Read(section);
   const steering::ServiceUpstreams* service =
@@ -678,6 +754,15 @@
       RecordUnmetDemand(view, *service);
       return std::nullopt;
     }
+    const std::uint64_t share = BodyShareOfThread(
+        kMaxBodyBytesPerUpstream,
+        m_shared.m_entry_hosts.load(std::memory_order_relaxed),
+        m_shared.m_settings.m_worker_threads);
+    if (body_bytes > 0 &&
+        !m_body_share.HasRoom(selection->m_instance, body_bytes, share)) {
+      excluded.push_back(selection->m_instance);
+      continue;
+    }
     if (view.m_limits == nullptr)
       return selection;
     request.m_slot_permit = view.m_limits->TryAcquire(
@@ -733,9 +818,13 @@
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
   const SendLease lease(m_shared.m_key_lease_end,
                         request.m_route.m_tenant.has_value());
-  AttemptRunner<D> runner(exchange, m_pool, m_watch, pacer, lease,
-                          request.m_route, request.m_deadline.m_time,
-                          m_shared.m_settings.m_connect_timeout, span);
+  const BodyShare::Sending sending(m_body_share, selection.m_instance,
+                                   LargeBodyBytes(exchange, request));
+  AttemptRunner<D> runner(
+      exchange, m_pool, m_watch, pacer, m_shared.m_link, lease, request.m_route,
+      {.m_deadline = request.m_deadline.m_time,
+       .m_connect_timeout = m_shared.m_settings.m_connect_timeout},
+      span);
   AttemptResult result = co_await runner.Run(selection, request.m_outgoing,
                                              request.m_is_repeatable);
   const MonoTime ended = MonoClock::now();
@@ -753,7 +842,7 @@
       result.m_attempt, *result.m_failure, result.m_is_head_forwarded);
   // Chunks of a streamed body have been read from the caller and not kept.
   const bool is_body_consumed =
-      request.m_outgoing.m_is_body_streamed &&
+      request.m_outgoing.m_body_mode == BodyMode::kStreamed &&
       result.m_attempt.m_state != request::AttemptState::kNotSent;
   if (!decision.m_may_retry || is_body_consumed)
     return false;
@@ -774,7 +863,8 @@
   // of the route is empty), the caller decides whether to retry.
   return is_error && request.m_is_repeatable &&
          request.m_route.m_is_repeatable &&
-         !request.m_outgoing.m_is_body_streamed && TryUseRetry(request);
+         request.m_outgoing.m_body_mode != BodyMode::kStreamed &&
+         TryUseRetry(request);
 }
 
 template <Dialect D, steering::SelectionPolicy P>
@@ -813,7 +903,28 @@
     co_return;
   ResponseHead head{.m_status = result.m_response->m_status,
                     .m_headers = std::move(result.m_response->m_headers)};
-  co_await exchange.Respond(std::move(head), result.m_response->m_body);
+  const std::string& body = result.m_response->m_body;
+  if (m_shared.m_link.HasRate() &&
+      body.size() > limits::HostLink::kMaxSmallBytes) {
+    head.m_content_length = body.size();
+    Status status = co_await exchange.Begin(std::move(head));
+    if (status) {
+      status = co_await WriteInTurn(exchange, m_shared.m_link, body,
+                                    request.m_deadline.m_time);
+    }
+    if (status)
+      co_await exchange.End();
+  } else {
+    m_shared.m_link.Record(limits::LinkSide::kOut,
+                           body.size() + attempt_internal::kHeadBytes,
+                           MonoClock::now());
+    co_await exchange.Respond(std::move(head), body);
+  }
+  if (request.m_route.m_is_upload && !exchange.IsBodyRead()) {
+    co_await exchange.DiscardBody(
+        forwarder_internal::kMaxDiscardedUploadBytes,
+        MonoClock::now() + forwarder_internal::kMaxDiscardTime);
+  }
 }
 
 template <Dialect D, steering::SelectionPolicy P>
--- a/src/entry/native_dialect.h
+++ b/src/entry/native_dialect.h
@@ -18,7 +18,6 @@
   static constexpr bool kUsesClaims = true;
   // A crash of the upstream would look like the end of such a response.
   static constexpr bool kTakesCloseDelimited = false;
-  static constexpr bool kReusesConnectionsForNonRepeatable = false;
 
   static Result<Route> Parse(const RequestHead& head, const ServingView& view);
   static RequestHead UpstreamHead(const RequestHead& head,
--- a/src/entry/route.cc
+++ b/src/entry/route.cc
@@ -42,6 +42,7 @@
 void ApplyRule(const RouteRule& rule, Route& route) {
   route.m_rule_name = rule.m_name;
   route.m_is_repeatable = rule.m_kind == RequestKind::kRepeatable;
+  route.m_is_upload = rule.m_kind == RequestKind::kUpload;
   route.m_priority = rule.m_priority;
   route.m_time_limit = rule.m_time_limit;
   route.m_max_attempts = rule.m_max_attempts;
--- a/src/entry/route.h
+++ b/src/entry/route.h
@@ -30,6 +30,7 @@
   // applies.
   std::optional<bool> m_is_repeatable;
   std::optional<std::uint8_t> m_priority;
+  bool m_is_upload = false;  // the kind of the rule is Upload
   std::optional<std::chrono::milliseconds> m_time_limit;
   std::uint32_t m_max_attempts = steering::kMaxAttempts;
   std::uint64_t m_affinity_hash = 0;        // hash of the affinity key; 0: none
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,5 +1,6 @@
 #include "net/http_connection.h"
 
+#include <array>
 #include <optional>
 #include <string>
 #include <utility>
@@ -43,6 +44,16 @@
                    std::string(operation) + ": " + error.message());
 }
 
+// True if the next bytes of the socket begin an informational response.
+bool HasInformationalResponse(tcp::socket& socket) {
+  constexpr std::string_view kBeginning = "HTTP/1.1 1";
+  std::array<char, kBeginning.size()> bytes{};
+  const ssize_t count = ::recv(socket.native_handle(), bytes.data(),
+                               bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+  return count > 0 && kBeginning.starts_with(std::string_view(
+                          bytes.data(), static_cast<std::size_t>(count)));
+}
+
 }  // namespace
 
 struct HttpConnection::State {
@@ -61,12 +72,16 @@
   bool m_is_head_method = false;
   bool m_reusable = false;
   bool m_allows_close_delimited = false;
+  std::shared_ptr<bool> m_watch_active;  // false after UnwatchInput
 };
 
 HttpConnection::HttpConnection(const asio::any_io_executor& executor)
     : m_state(std::make_unique<State>(executor)) {}
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection() {
+  if (m_state->m_watch_active != nullptr)
+    *m_state->m_watch_active = false;
+}
 
 void HttpConnection::Close() {
   m_state->m_stream.close();
@@ -216,6 +231,33 @@
   co_return std::size_t{0};
 }
 
+void HttpConnection::WatchInput(std::function<void()> on_input) {
+  auto watch_active = std::make_shared<bool>(true);
+  m_state->m_watch_active = watch_active;
+  tcp::socket& socket = m_state->m_stream.socket();
+  socket.async_wait(tcp::socket::wait_read,
+                    [watch_active, &socket, callback = std::move(on_input)](
+                        const beast::error_code& error) {
+                      if (!*watch_active)
+                        return;
+                      if (error || !HasInformationalResponse(socket))
+                        callback();
+                    });
+}
+
+void HttpConnection::UnwatchInput() {
+  if (m_state->m_watch_active == nullptr)
+    return;
+  *m_state->m_watch_active = false;
+  m_state->m_watch_active.reset();
+  beast::error_code error;
+  m_state->m_stream.socket().cancel(error);
+}
+
+void HttpConnection::CancelOperations() {
+  m_state->m_stream.cancel();
+}
+
 bool HttpConnection::Reusable() const {
   return m_state->m_reusable && m_state->m_buffer.size() == 0;
 }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -62,6 +63,15 @@
   // or one whose end cannot be determined, is an error.
   asio::awaitable<Result<std::size_t>> ReadSome(std::span<char> buffer);
 
+  // Calls on_input once when the server sends bytes or closes the connection,
+  // until UnwatchInput; not for informational (1xx) responses. Requires that
+  // nothing is being read.
+  void WatchInput(std::function<void()> on_input);
+  void UnwatchInput();
+  // Ends operations in progress with an error and keeps the connection open, so
+  // that a response can be read while a part of the request is unsent.
+  void CancelOperations();
+
   // True after a complete response if the server keeps the connection open.
   bool Reusable() const;
   // True if the server has closed the idle connection or sent unexpected bytes.
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -46,6 +46,15 @@
 
   // Reads the next bytes of the request body. Returns 0 at its end.
   asio::awaitable<Result<std::size_t>> ReadSome(std::span<char> buffer);
+  // Reads of the body fail with kTimeout after this time, however slowly the
+  // caller sends. By default each read has a timeout of its own.
+  void SetBodyDeadline(MonoTime deadline);
+  // Ends a read in progress with an error; the body can be read on later.
+  void CancelRead();
+  // Reads and discards the remaining body until its end, max_bytes or the
+  // deadline. A caller that still sends when its connection is closed could
+  // lose the response.
+  asio::awaitable<void> DiscardBody(std::size_t max_bytes, MonoTime deadline);
   // Reads the remaining body. Fails if it is larger than max_bytes.
   asio::awaitable<Result<std::string>> ReadAll(std::size_t max_bytes);
   bool IsBodyRead() const;  // the complete request body was read
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -48,6 +48,11 @@
   return MakeError(ErrorCode::kIo, "caller connection: " + error.message());
 }
 
+Error BodyTimeoutError() {
+  return MakeError(ErrorCode::kTimeout,
+                   "the caller did not send the body in time");
+}
+
 }  // namespace
 
 // Parser and serializer of one request and its response.
@@ -65,6 +70,7 @@
   std::string m_remote_address;
   std::chrono::milliseconds m_body_timeout{0};
   std::optional<MonoTime> m_response_deadline;
+  std::optional<MonoTime> m_body_deadline;
   const std::atomic<bool>* m_announce_close = nullptr;
   std::shared_ptr<bool> m_watch_active;  // false after Unwatch
   bool m_response_started = false;
@@ -100,6 +106,14 @@
   return std::min(std::max(left, kMinWriteTime), state.m_body_timeout);
 }
 
+std::chrono::milliseconds ReadTimeout(const HttpExchangeState& state) {
+  if (!state.m_body_deadline)
+    return state.m_body_timeout;
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      *state.m_body_deadline - MonoClock::now());
+  return std::clamp(left, std::chrono::milliseconds(0), state.m_body_timeout);
+}
+
 // Responds with 400 or 431 to a request head that could not be parsed.
 asio::awaitable<void> RejectRequestHead(beast::tcp_stream& stream,
                                         beast::error_code error) {
@@ -147,10 +161,12 @@
     auto& body = state.m_parser.get().body();
     body.data = buffer.data();
     body.size = buffer.size();
-    SetTimeout(state.m_stream, state.m_body_timeout);
+    SetTimeout(state.m_stream, ReadTimeout(state));
     auto [error, count] = co_await http::async_read_some(
         state.m_stream, state.m_buffer, state.m_parser, kTuple);
     state.m_stream.expires_never();
+    if (error == beast::error::timeout && state.m_body_deadline)
+      co_return BodyTimeoutError();
     if (error && error != http::error::need_buffer)
       co_return CallerConnectionError(error);
     const std::size_t received = buffer.size() - body.size;
@@ -185,6 +201,27 @@
   }
 }
 
+void HttpExchange::SetBodyDeadline(MonoTime deadline) {
+  m_state.m_body_deadline = deadline;
+}
+
+void HttpExchange::CancelRead() {
+  m_state.m_stream.cancel();
+}
+
+asio::awaitable<void> HttpExchange::DiscardBody(std::size_t max_bytes,
+                                                MonoTime deadline) {
+  m_state.m_body_deadline = deadline;
+  std::array<char, 4096> chunk{};
+  std::size_t discarded = 0;
+  while (discarded < max_bytes) {
+    const Result<std::size_t> count = co_await ReadSome(chunk);
+    if (!count || count.value() == 0)
+      co_return;
+    discarded += count.value();
+  }
+}
+
 void HttpExchange::SetResponseDeadline(MonoTime deadline) {
   m_state.m_response_deadline = deadline;
 }
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -276,6 +276,28 @@
   EXPECT_LT(entry.m_stop_limit.value(), node.m_stop_timeout);
 }
 
+// Guards against hosts with fast links, or without the rules for competing
+// callers, that are served otherwise than before.
+TEST(NodeSettings, NarrowLinksAndReuseAreSwitchedOnByThePlatform) {
+  const auto entry_settings = [](const std::string& fields) {
+    return ToEntrySettings(
+               ParseNodeSettings(Replaced(kNode, "\"unknown\":[1,2]", fields))
+                   .value())
+        .value();
+  };
+  const EntrySettings plain = entry_settings("\"unknown\":[1,2]");
+  EXPECT_FALSE(plain.m_link_kbit_s);
+  EXPECT_FALSE(plain.m_reuses_connections);
+  const EntrySettings fast =
+      entry_settings(R"("limits":{"link_mbps":100},"contracts":["base"])");
+  EXPECT_FALSE(fast.m_link_kbit_s);
+  EXPECT_FALSE(fast.m_reuses_connections);
+  const EntrySettings narrow = entry_settings(
+      R"("limits":{"link_mbps":2.6},"contracts":["base",3,"pressure"])");
+  EXPECT_EQ(narrow.m_link_kbit_s, 2600U);
+  EXPECT_TRUE(narrow.m_reuses_connections);
+}
+
 // Guards against accepting a malformed value silently.
 TEST(NodeSettings, ErrorsNameTheField) {
   const auto parse_error = [](const std::string& from, const std::string& to) {
