--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -71,6 +71,8 @@
   bool m_is_connect_timeout = false;
   // The connect timeout is explained by the link of this host, which was busy.
   bool m_is_link_busy = false;
+  // The connect timeout is explained by the load that the upstream reported.
+  bool m_is_upstream_full = false;
   // Not sent: after its selection the instance stated that it wants no
   // requests, or the lease of the caller's key ran out.
   bool m_is_withheld = false;
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -135,7 +135,10 @@
   const MonoTime connect_deadline =
       now + ConnectLimit(
                 {.m_timeout = m_connect_timeout,
-                 .m_one_way_delay = selection.m_delay,
+                 .m_one_way_delay = m_link.HasRate()
+                                        ? m_pool.OneWayDelay(selection.m_region,
+                                                             selection.m_delay)
+                                        : selection.m_delay,
                  .m_link_backlog = m_link.Backlog(limits::LinkSide::kOut, now) +
                                    m_link.Backlog(limits::LinkSide::kIn, now),
                  .m_remaining = m_deadline - now});
@@ -143,7 +146,7 @@
   const Status connected = co_await m_connection->Connect(selection.m_endpoint);
   m_connection->SetDeadline(m_deadline);
   if (connected) {
-    m_pool.OnConnected(now);
+    m_pool.OnConnected(selection.m_region, now, MonoClock::now());
     co_return true;
   }
   SetConnectFailure(connected.error(), now, was_link_busy,
@@ -243,8 +246,9 @@
       is_sent = co_await SendBufferedBody(request.m_body);
       break;
     case BodyMode::kStreamed:
-      is_sent = co_await SendBufferedBody(request.m_body) &&
-                co_await StreamRequestBody();
+      is_sent = co_await SendBufferedBody(request.m_body);
+      if (is_sent)
+        is_sent = co_await StreamRequestBody();
       break;
     case BodyMode::kKept:
       m_is_body_unfinished = true;
@@ -296,8 +300,9 @@
 
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendInTurn(std::string_view data) {
-  if (!co_await WaitForTurn(m_link, limits::LinkSide::kOut, data.size(),
-                            m_deadline)) {
+  const bool has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kOut,
+                                             data.size(), m_deadline);
+  if (!has_turn) {
     SetFailure(Failure::kTimeout,
                MakeError(ErrorCode::kTimeout,
                          "link of this host: no turn before the deadline"));
@@ -352,11 +357,14 @@
     SetFailure(Failure::kCallerDisconnected, count.error());
     co_return std::nullopt;
   }
-  const bool has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kIn,
-                                             count.value(), m_deadline);
-  const bool has_capacity =
-      has_turn && co_await m_pacer.WaitForCapacity(LinkDirection::kToUpstream,
-                                                   count.value(), m_deadline);
+  const std::size_t bytes = count.value();
+  // GCC 12 miscompiles co_await in an operand of && in an initializer.
+  bool has_capacity =
+      co_await WaitForTurn(m_link, limits::LinkSide::kIn, bytes, m_deadline);
+  if (has_capacity) {
+    has_capacity = co_await m_pacer.WaitForCapacity(LinkDirection::kToUpstream,
+                                                    bytes, m_deadline);
+  }
   if (!has_capacity) {
     SetFailure(Failure::kTimeout,
                MakeError(ErrorCode::kTimeout,
@@ -437,10 +445,14 @@
     co_return std::nullopt;
   }
   m_response_body_bytes += count.value();
+  bool has_turn = true;
   if (m_response_body_bytes <= limits::HostLink::kMaxSmallBytes) {
     m_link.Record(limits::LinkSide::kIn, count.value(), MonoClock::now());
-  } else if (!co_await WaitForTurn(m_link, limits::LinkSide::kIn, count.value(),
-                                   m_deadline)) {
+  } else {
+    has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kIn,
+                                    count.value(), m_deadline);
+  }
+  if (!has_turn) {
     SetFailure(Failure::kTimeout,
                MakeError(ErrorCode::kTimeout,
                          "link of this host: no turn before the deadline"));
--- a/src/entry/connect_limit.cc
+++ b/src/entry/connect_limit.cc
@@ -17,6 +17,10 @@
 // upstream can be tried.
 constexpr int kRemainingDivisor = 3;
 
+// An upstream that was lost reports nothing more, so an old report must not
+// explain its silence for long.
+constexpr std::chrono::seconds kMaxReportAge{2};
+
 }  // namespace
 
 MonoClock::duration ConnectLimit(const ConnectWait& wait) {
@@ -29,6 +33,11 @@
                   std::max(unloaded, wait.m_remaining / kRemainingDivisor));
 }
 
+bool IsUpstreamFull(const UpstreamLoad& load) {
+  return load.m_slots > 0 && load.m_in_progress >= load.m_slots &&
+         load.m_report_age < kMaxReportAge;
+}
+
 bool IsSignOfLostUpstream(const ConnectExpiry& expiry) {
   return !expiry.m_was_link_busy || expiry.m_did_other_succeed;
 }
--- a/src/entry/connect_limit.h
+++ b/src/entry/connect_limit.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstdint>
 
 #include "core/clock.h"
 
@@ -32,6 +33,19 @@
   friend auto operator<=>(const ConnectExpiry&, const ConnectExpiry&) = default;
 };
 
+// Load of an upstream at the expiry of a connect.
+struct UpstreamLoad {
+  std::uint32_t m_in_progress = 0;  // of all hosts, as last reported
+  std::uint32_t m_slots = 0;
+  MonoClock::duration m_report_age{0};
+
+  friend auto operator<=>(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+
+// True if the upstream reported lately that all of its slots are in use. It may
+// then accept a connection only once a slot becomes free.
+bool IsUpstreamFull(const UpstreamLoad& load);
+
 // True if the expired connect is a sign that the upstream is gone, and not that
 // packets wait on the link of this host.
 bool IsSignOfLostUpstream(const ConnectExpiry& expiry);
--- a/src/entry/connection_pool.cc
+++ b/src/entry/connection_pool.cc
@@ -1,5 +1,6 @@
 #include "entry/connection_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jujube::entry {
@@ -83,6 +84,26 @@
   OnForgotten(kForgottenToDistrust, now);
 }
 
+void ConnectionPool::OnConnected(const RegionId& region,
+                                 MonoTime started,
+                                 MonoTime now) {
+  m_connected_at = std::max(m_connected_at, started);
+  const MonoClock::duration time = now - started;
+  const auto [found, is_new] = m_shortest_connects.try_emplace(region, time);
+  if (!is_new)
+    found->second = std::min(found->second, time);
+}
+
+std::chrono::milliseconds ConnectionPool::OneWayDelay(
+    const RegionId& region,
+    std::chrono::milliseconds stated) const {
+  const auto found = m_shortest_connects.find(region);
+  if (found == m_shortest_connects.end())
+    return stated;
+  return std::min(
+      stated, std::chrono::ceil<std::chrono::milliseconds>(found->second / 2));
+}
+
 void ConnectionPool::OnForgotten(std::uint32_t count, MonoTime now) {
   if (now - m_forgotten_at >= kDistrustTime)
     m_forgotten = 0;
--- a/src/entry/connection_pool.h
+++ b/src/entry/connection_pool.h
@@ -50,9 +50,15 @@
   // A request failed on an idle connection before any response.
   void OnReuseFailed(MonoTime now);
 
-  // Records an accepted connect, to tell lost upstreams from a busy link.
-  void OnConnected(MonoTime now) { m_connected_at = now; }
+  // Records an accepted connect, to tell lost upstreams from a busy link, and
+  // the delay of the region.
+  void OnConnected(const RegionId& region, MonoTime started, MonoTime now);
+  // Start of the accepted connect that was started last.
   MonoTime LastConnectedAt() const { return m_connected_at; }
+  // One-way delay to the region as the fastest connect showed it, or `stated`
+  // if that is shorter or no connect was accepted yet.
+  std::chrono::milliseconds OneWayDelay(const RegionId& region,
+                                        std::chrono::milliseconds stated) const;
 
   // Closes connections that are too old for any request.
   void Prune(MonoTime now);
@@ -83,6 +89,7 @@
   std::map<PoolKey, std::vector<IdleConnection>> m_idle_connections;
   MonoTime m_pruned_at;
   MonoTime m_connected_at;
+  std::map<RegionId, MonoClock::duration> m_shortest_connects;
   // Idle connections that upstreams forgot, and when the last one was found.
   // Requests that run at most once get new connections after several of them.
   std::uint32_t m_forgotten = 0;
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -98,6 +98,10 @@
   // Makes the next renewal of allotments ask for more slots of the service.
   void RecordUnmetDemand(const ServingView& view,
                          const steering::ServiceUpstreams& service);
+  // After a connect timeout: whether the load of the upstream explains it.
+  void CheckUpstreamLoad(const Request& request,
+                         const steering::Selection& selection,
+                         AttemptResult& result) const;
   // Whether to retry a failed attempt. If so, uses up a retry of the budget,
   // unless all attempts so far were connect timeouts.
   bool TryRetryFailure(Request& request, const AttemptResult& result);
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -79,6 +79,8 @@
   if (*result.m_failure == request::AttemptFailure::kNotStarted)
     return result.m_is_misdirected ? steering::Outcome::kGone
                                    : steering::Outcome::kShed;
+  if (result.m_is_upstream_full)
+    return steering::Outcome::kShed;
   if (result.m_is_connect_timeout && !result.m_is_link_busy)
     return steering::Outcome::kUnreachable;
   // The instance was ejected or is gone because of other requests, which have
@@ -828,6 +830,8 @@
   AttemptResult result = co_await runner.Run(selection, request.m_outgoing,
                                              request.m_is_repeatable);
   const MonoTime ended = MonoClock::now();
+  if (result.m_is_connect_timeout)
+    CheckUpstreamLoad(request, selection, result);
   const std::optional<steering::Outcome> outcome =
       forwarder_internal::OutcomeOf(result);
   if (outcome)
@@ -835,6 +839,42 @@
   co_return result;
 }
 
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::CheckUpstreamLoad(const Request& request,
+                                        const steering::Selection& selection,
+                                        AttemptResult& result) const {
+  if (!m_shared.m_settings.m_reuses_connections)
+    return;
+  const steering::Observation observation =
+      selection.m_slot.Counters()->Observe();
+  UpstreamLoad load{
+      .m_in_progress =
+          observation.m_in_progress + observation.m_others_in_progress,
+      .m_report_age = MonoClock::now() - observation.m_others_reported_at};
+  {
+    const rcu::ReadSection section;
+    const steering::ServiceUpstreams* service = steering::FindService(
+        *m_shared.m_view.Read(section).m_upstreams, request.m_route.m_service);
+    if (service == nullptr)
+      return;
+    const auto found =
+        std::find_if(service->m_upstreams.begin(), service->m_upstreams.end(),
+                     [&](const steering::Upstream& upstream) {
+                       return upstream.m_member.m_announcement.m_instance ==
+                              selection.m_instance;
+                     });
+    if (found != service->m_upstreams.end())
+      load.m_slots = found->m_member.m_announcement.m_slots;
+  }
+  result.m_is_upstream_full = IsUpstreamFull(load);
+  const auto age_ms =
+      std::chrono::duration_cast<milliseconds>(load.m_report_age).count();
+  result.m_error +=
+      "; upstream reported " + std::to_string(load.m_in_progress) + " of " +
+      std::to_string(load.m_slots) + " slots " +
+      std::to_string(std::min<std::int64_t>(age_ms, 99999)) + " ms ago";
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 bool Forwarder<D, P>::TryRetryFailure(Request& request,
                                       const AttemptResult& result) {
--- a/src/entry/link_turn.cc
+++ b/src/entry/link_turn.cc
@@ -44,8 +44,9 @@
     co_return co_await exchange.Write(data);
   while (!data.empty()) {
     const std::string_view chunk = data.substr(0, link.ChunkBytes());
-    if (!co_await WaitForTurn(link, limits::LinkSide::kOut, chunk.size(),
-                              deadline)) {
+    const bool has_turn = co_await WaitForTurn(link, limits::LinkSide::kOut,
+                                               chunk.size(), deadline);
+    if (!has_turn) {
       co_return MakeError(ErrorCode::kTimeout,
                           "link of this host: no turn before the deadline");
     }
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -235,14 +235,16 @@
   auto watch_active = std::make_shared<bool>(true);
   m_state->m_watch_active = watch_active;
   tcp::socket& socket = m_state->m_stream.socket();
-  socket.async_wait(tcp::socket::wait_read,
-                    [watch_active, &socket, callback = std::move(on_input)](
-                        const beast::error_code& error) {
-                      if (!*watch_active)
-                        return;
-                      if (error || !HasInformationalResponse(socket))
-                        callback();
-                    });
+  socket.async_wait(
+      tcp::socket::wait_read,
+      [watch_active, &socket,
+       callback = std::move(on_input)](const beast::error_code& error) {
+        // Aborted: the deadline of an operation has passed.
+        if (!*watch_active || error == asio::error::operation_aborted)
+          return;
+        if (error || !HasInformationalResponse(socket))
+          callback();
+      });
 }
 
 void HttpConnection::UnwatchInput() {
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -468,6 +468,13 @@
     acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error)
     acceptor.set_option(ReusePort(true), error);
+  // Accepted connections inherit it; set later, it would not limit the window
+  // that is announced with the handshake.
+  const int receive_bytes = m_state->m_options.m_receive_buffer_bytes;
+  if (!error && receive_bytes > 0) {
+    acceptor.set_option(asio::socket_base::receive_buffer_size(receive_bytes),
+                        error);
+  }
   if (!error)
     acceptor.bind(local, error);
   if (!error)
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -31,6 +31,9 @@
   std::chrono::milliseconds m_idle_timeout{60000};
   // Per read of a body and per write, also of the response head.
   std::chrono::milliseconds m_body_timeout{30000};
+  // Receive buffer of a connection: the bytes that a caller may have on their
+  // way before they are read. 0: chosen by the kernel.
+  int m_receive_buffer_bytes = 0;
 };
 
 class HttpListener {
--- a/tests/unit/entry_link_decisions_test.cc
+++ b/tests/unit/entry_link_decisions_test.cc
@@ -102,6 +102,23 @@
       {.m_was_link_busy = true, .m_did_other_succeed = true}));
 }
 
+// Guards against a busy upstream that is set aside because it accepts late, and
+// against a lost one whose last report keeps it in use.
+TEST(ConnectLimit, ReportedLoadExplainsALateAccept) {
+  const UpstreamLoad full{
+      .m_in_progress = 9, .m_slots = 9, .m_report_age = milliseconds(1999)};
+  EXPECT_TRUE(IsUpstreamFull(full));
+  UpstreamLoad other = full;
+  other.m_in_progress = 8;
+  EXPECT_FALSE(IsUpstreamFull(other));
+  other = full;
+  other.m_report_age = milliseconds(2000);
+  EXPECT_FALSE(IsUpstreamFull(other));
+  other = full;
+  other.m_slots = 0;
+  EXPECT_FALSE(IsUpstreamFull(other));
+}
+
 // Guards against an upstream that gets the bodies of all hosts at once.
 TEST(BodyShare, BodiesUnderWayStayWithinTheShare) {
   const std::uint64_t share = BodyShareOfThread(8U << 20U, 34, 1);
