--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -245,9 +245,12 @@
 // Updates the readiness of this host and reports it to the control hosts, which
 // direct callers here only while it is ready.
 void EntryControl::UpdatePresence() {
+  const MonoTime now = MonoClock::now();
   m_load_permille = lookup::QuantizedLoad(
       m_load_permille,
-      m_shared.m_load_permille.load(std::memory_order_relaxed));
+      std::max(
+          m_shared.m_link.UtilizationPermille(limits::LinkSide::kIn, now),
+          m_shared.m_link.UtilizationPermille(limits::LinkSide::kOut, now)));
   const bool is_ready = m_feed_state->m_deployment.m_number > 0 &&
                         m_is_config_confirmed && !m_drain &&
                         !m_is_key_lease_expired;
@@ -430,6 +433,8 @@
 
 void EntryControl::PublishView() {
   m_is_view_outdated = false;
+  m_shared.m_entry_hosts.store(static_cast<std::uint32_t>(m_entry_hosts.size()),
+                               std::memory_order_relaxed);
   m_published_registry_version = m_registry.Version();
   const std::vector<Drain> drains = ActiveDrains();
   const membership::RegistrySnapshot snapshot = m_registry.Snapshot();
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -11,6 +11,7 @@
 #include "entry/serving_view.h"
 #include "gen/settings.h"
 #include "gen/types.h"
+#include "limits/host_link.h"
 #include "limits/limit_cell.h"
 #include "lookup/entry_host_lists.h"
 #include "observe/counter.h"
@@ -41,14 +42,15 @@
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
   // End of the lease for requests with keys (tenants/key_lease.h).
   std::atomic<MonoTime> m_key_lease_end{MonoTime{}};
-  // Use of the scarcest resource of this host; 0 if it is not measured.
-  std::atomic<std::uint32_t> m_load_permille = 0;
   std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
   // Usable slots of all services. Not part of the view, because ejections and
   // pauses of instances end without a new view.
   std::atomic<std::uint32_t> m_host_cap = 0;
   // Memory for request bodies of all worker threads (EntrySettings).
   const std::shared_ptr<limits::LimitCell> m_body_bytes;
+  limits::HostLink m_link;  // of this host (EntrySettings)
+  // Entry hosts of the deployment, for bounds that all of them share.
+  std::atomic<std::uint32_t> m_entry_hosts = 1;
   std::atomic<std::uint64_t> m_next_claim_attempt = 1;  // numbers claims
 
   observe::SpanExporter m_spans;  // thread-safe
