--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -276,6 +276,25 @@
   EXPECT_LT(entry.m_stop_limit.value(), node.m_stop_timeout);
 }
 
+// Guards against a deployment that is held back although its platform does not
+// list the contract, and against a malformed list that turns it on.
+TEST(NodeSettings, WaitsForRoomOnlyUnderPressure) {
+  const auto waits = [](const std::string& contracts) {
+    const std::string text =
+        Replaced(kNode, "\"unknown\":[1,2]", "\"contracts\":" + contracts);
+    return ToEntrySettings(ParseNodeSettings(text).value())
+        .value()
+        .m_waits_for_room;
+  };
+  EXPECT_FALSE(ToEntrySettings(ParseNodeSettings(kNode).value())
+                   .value()
+                   .m_waits_for_room);
+  EXPECT_TRUE(waits(R"(["base","pressure"])"));
+  EXPECT_FALSE(waits(R"(["base","quota"])"));
+  EXPECT_FALSE(waits("\"pressure\""));
+  EXPECT_FALSE(waits("[1,null]"));
+}
+
 // Guards against accepting a malformed value silently.
 TEST(NodeSettings, ErrorsNameTheField) {
   const auto parse_error = [](const std::string& from, const std::string& to) {
@@ -364,6 +383,15 @@
   EXPECT_FALSE(RequestDialect::NamesRequest(refused));
   const ResponseHead with_load{.m_headers = {{"Server-Load", "3,2,8"}}};
   EXPECT_EQ(RequestDialect::ReportOf(with_load).m_in_progress, 5U);
+  EXPECT_EQ(RequestDialect::ReportOf(with_load).m_waiting, 2U);
+  EXPECT_EQ(RequestDialect::ReportOf(with_load).m_slots, 8U);
+  const ResponseHead without_slots{.m_headers = {{"Server-Load", "3,2"}}};
+  EXPECT_EQ(RequestDialect::ReportOf(without_slots).m_in_progress, 5U);
+  EXPECT_FALSE(RequestDialect::ReportOf(without_slots).m_slots);
+  for (const char* absurd : {"3,2,0", "4294967295,1,8", "3,-2,8", "3,2,x"}) {
+    const ResponseHead head{.m_headers = {{"Server-Load", absurd}}};
+    EXPECT_FALSE(RequestDialect::ReportOf(head).m_slots) << absurd;
+  }
   const ResponseHead malformed_load{.m_headers = {{"Server-Load", "3;2"}}};
   EXPECT_FALSE(RequestDialect::ReportOf(malformed_load).m_in_progress);
   const ResponseHead leaving{.m_headers = {{"Server-Leaving", "1"}}};
