--- a/tests/unit/overload_load_test.cc
+++ b/tests/unit/overload_load_test.cc
@@ -116,7 +116,8 @@
     }
   }
   const ModelCount& flood = result.m_by_tenant.at({kLookup, 0});
-  EXPECT_GT(others.InTime(), 0.8);
+  // 0.84 without shares of tenants.
+  EXPECT_GT(others.InTime(), 0.87);
   EXPECT_GT(others.InTime(), flood.InTime());
   EXPECT_GT(flood.Served(), 0.25);
 }
--- a/tests/unit/overload_room_test.cc
+++ b/tests/unit/overload_room_test.cc
@@ -113,6 +113,31 @@
   EXPECT_GE(estimate.Room(), 30);
 }
 
+// Guards against hosts that keep sending while upstreams state long queues, and
+// against room that does not come back afterwards.
+TEST(RoomEstimate, FollowsStatedQueues) {
+  RoomEstimate estimate;
+  estimate.SetFairShare(10);
+  const double start = estimate.Room();
+  for (int i = 0; i < 40; ++i)
+    estimate.OnResponse({.m_waiting = 18, .m_slots = 9}, 0.5, 20, At(0));
+  const double shrunk = estimate.Room();
+  EXPECT_LT(shrunk, start / 2);
+  // While it is used up, short queues let it grow.
+  for (int i = 0; i < 200; ++i)
+    estimate.OnResponse({.m_waiting = 3, .m_slots = 9}, 0.5, 20, At(0));
+  EXPECT_GT(estimate.Room(), shrunk * 1.5);
+}
+
+// Guards against hosts that send the load of lost upstreams to the others.
+TEST(RoomEstimate, ShrinksWithTheSlotsOfTheService) {
+  RoomEstimate estimate;
+  estimate.SetFairShare(12);
+  const double start = estimate.Room();
+  estimate.SetFairShare(8);
+  EXPECT_LE(estimate.Room(), start * 8 / 12);
+}
+
 // Guards against a service without upstreams, or a host count of zero shares.
 TEST(RoomEstimate, HasRoomForOneWithoutUpstreams) {
   RoomEstimate estimate;
