Reserve room for higher ranks by their demand

A higher rank with few requests kept a fifth of the room empty. The reserve is its part of the requests now, a fifth at most, and the room grows from three quarters of its use on.

--- a/src/overload/rank_shares.cc
+++ b/src/overload/rank_shares.cc
@@ -54,6 +54,18 @@
          rank.m_started * asked < rank.m_asked * started * kLeastShare;
 }
 
+double RankShares::ReservedAbove(std::uint8_t priority) const {
+  double asked = 0;
+  for (const Rank& rank : m_ranks)
+    asked += rank.m_asked;
+  double reserved = 0;
+  for (std::size_t i = IndexOf(priority) + 1; i < m_ranks.size(); ++i) {
+    if (m_ranks[i].m_asked > 0)
+      reserved += std::min(kMaxReserve, m_ranks[i].m_asked / asked);
+  }
+  return reserved;
+}
+
 std::uint32_t RankShares::CountAbove(std::uint8_t priority,
                                      MonoTime now) const {
   std::uint32_t count = 0;
--- a/src/overload/room_estimate.cc
+++ b/src/overload/room_estimate.cc
@@ -14,6 +14,8 @@
 // only. Shrinking is faster, so that queues end within a few response times.
 constexpr double kGrowth = 0.01;
 constexpr double kShrinking = 0.03;
+// Lower ranks leave some of the room free, so it is used up earlier.
+constexpr double kUsedUp = 0.75;
 constexpr double kRefusalShrinking = 0.02;
 // An upstream may state any number.
 constexpr double kMaxStatedQueue = 4;
@@ -60,7 +62,7 @@
   }
   if (queue > bearable_queue)
     SetRoom(m_room * (1 - kShrinking * std::min(queue - bearable_queue, 1.0)));
-  else if (in_progress >= m_room)
+  else if (in_progress >= m_room * kUsedUp)
     SetRoom(m_room * (1 + kGrowth));
 }
 
--- a/src/overload/room_policy.cc
+++ b/src/overload/room_policy.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 
+#include "overload/rank_shares.h"
+
 namespace jujube::overload {
 namespace {
 
-// A small host has room for about ten requests, so this is two of them. With
-// 0.12, 0.83 of the highest rank were in time at 1.5 of the room instead of
-// 0.85 (bench/overload_bench, refusing at once).
-constexpr double kReservedPerRank = 0.2;
 // A lower rank keeps at least this part, however many ranks are above it.
 constexpr double kMinUsable = 0.5;
 
@@ -39,10 +37,10 @@
 double UsableRoom(const RoomInputs& inputs) {
   if (inputs.m_is_owed && !inputs.m_is_above_share)
     return std::max(inputs.m_room, 1.0);
-  const std::uint32_t levels_below_first =
-      inputs.m_ranks_above + (inputs.m_is_above_share ? 1 : 0);
-  const double part =
-      std::max(kMinUsable, 1 - kReservedPerRank * levels_below_first);
+  const double reserved =
+      inputs.m_reserved_above +
+      (inputs.m_is_above_share ? RankShares::kMaxReserve : 0);
+  const double part = std::max(kMinUsable, 1 - reserved);
   return std::max(inputs.m_room * part, 1.0);
 }
 
--- a/src/overload/room_policy.h
+++ b/src/overload/room_policy.h
@@ -25,6 +25,7 @@
   double m_room = 1;                  // requests that may be in progress
   std::uint32_t m_in_progress = 0;    // of this host, at the service
   std::uint32_t m_ranks_above = 0;    // higher ranks that ask for room too
+  double m_reserved_above = 0;        // part of the room that is kept for them
   bool m_is_above_share = false;      // its tenant started more than its share
   std::uint32_t m_waiting_ahead = 0;  // waiting with the same or a higher rank
   bool m_is_owed = false;             // its rank got less than its least share
@@ -65,8 +66,8 @@
   { P::Decide(request, inputs) } -> std::same_as<RoomDecision>;
 };
 
-// Part of the room that a rank may use. Each higher rank that asks for room too
-// keeps some of it free, so that it finds room when it comes.
+// Part of the room that a request may use. The rest is kept free for higher
+// ranks, and for other tenants if its own has more than its share.
 double UsableRoom(const RoomInputs& inputs);
 
 // Time until room for the request is expected, by Little's law: with n requests
--- a/src/overload/service_room.h
+++ b/src/overload/service_room.h
@@ -135,6 +135,7 @@
             .m_room = m_estimate.Room(),
             .m_in_progress = m_in_progress,
             .m_ranks_above = m_ranks.CountAbove(priority, now),
+            .m_reserved_above = m_ranks.ReservedAbove(priority),
             .m_is_above_share = m_tenants.IsAboveShare(priority, tenant),
             .m_waiting_ahead = m_queue.CountFrom(priority),
             .m_is_owed = m_ranks.IsOwed(priority),
--- a/tests/unit/overload_room_test.cc
+++ b/tests/unit/overload_room_test.cc
@@ -146,6 +146,20 @@
   EXPECT_GE(estimate.Room(), 1);
 }
 
+// Guards against room that stands empty for a higher rank with few requests.
+TEST(RankShares, ReservesNoMoreThanHigherRanksAskFor) {
+  RankShares ranks;
+  for (int i = 0; i < 98; ++i)
+    ranks.OnAsked(5, At(0));
+  ranks.OnAsked(9, At(0));
+  ranks.OnAsked(9, At(0));
+  EXPECT_DOUBLE_EQ(ranks.ReservedAbove(5), 0.02);
+  EXPECT_EQ(ranks.ReservedAbove(9), 0);
+  for (int i = 0; i < 100; ++i)
+    ranks.OnAsked(9, At(0));
+  EXPECT_DOUBLE_EQ(ranks.ReservedAbove(5), RankShares::kMaxReserve);
+}
+
 // Guards against priorities beyond the range.
 TEST(RankShares, TakesPrioritiesBeyondTheRangeAsTheHighest) {
   RankShares ranks;
