Select upstreams by expected cost

A busy slot counted as one whatever ran in it, and a request left a full upstream for the next one in its object's order, whatever either had to do.

Adds WorkEstimator (work by route and acquaintance of upstream and object), EstimateCost, CostPolicy, a plan of region shares from slots and entry hosts, and a rejection by expected time; on with selects_by_cost only. Reads waiting requests, slots and the time of work on the machine from load reports.

--- a/bench/steering_bench.cc
+++ b/bench/steering_bench.cc
@@ -11,12 +11,14 @@
 
 #include <benchmark/benchmark.h>
 
+#include "bench/steering_model.h"
+#include "steering/affinity_policy.h"
+#include "steering/cost_policy.h"
 #include "steering/headroom_latency_policy.h"
 #include "steering/least_connections_policy.h"
 #include "steering/random_policy.h"
 #include "steering/round_robin_policy.h"
 #include "steering/two_choices_policy.h"
-#include "steering_model.h"
 
 namespace jujube::bench {
 namespace {
@@ -36,12 +38,18 @@
       combined.m_max_utilization =
           std::max(combined.m_max_utilization, result.m_max_utilization);
       combined.m_refused += result.m_refused / kSeeds;
+      combined.m_in_time += result.m_in_time / kSeeds;
+      combined.m_worth += result.m_worth / kSeeds;
     }
     state.counters["p50_ms"] = combined.m_p50_ms;
     state.counters["p99_ms"] = combined.m_p99_ms;
     state.counters["p999_ms"] = combined.m_p999_ms;
     state.counters["max_use"] = combined.m_max_utilization;
     state.counters["refused_pct"] = 100 * combined.m_refused;
+    if (parameters.m_work.m_objects > 0) {
+      state.counters["in_time_pct"] = 100 * combined.m_in_time;
+      state.counters["worth"] = combined.m_worth;
+    }
   }
 }
 
@@ -69,6 +77,48 @@
   }
 }
 
+struct ModelPattern {
+  const char* m_name = "";
+  double m_offered_load = 0;
+  ModelWork m_work;
+};
+
+// Load patterns of expected cost, each with the region plan and without.
+std::vector<ModelPattern> CostPatterns() {
+  ModelWork even = UnevenWork();
+  even.m_tail_share = 0;
+  even.m_slow_share = 0;
+  ModelWork forgetful = UnevenWork();
+  forgetful.m_kept = 3;
+  ModelWork wave = UnevenWork();
+  wave.m_wave_start = std::chrono::seconds(30);
+  wave.m_wave_end = std::chrono::seconds(50);
+  wave.m_wave_factor = 3;
+  return {{"alike", 0.8, even},
+          {"tail_and_slow", 0.8, UnevenWork()},
+          {"forgetful", 0.8, forgetful},
+          {"heavy", 1.6, UnevenWork()},
+          {"wave", 0.8, wave}};
+}
+
+template <class P>
+void RegisterCost(const std::string& policy, bool plans_regions) {
+  for (const ModelPattern& pattern : CostPatterns()) {
+    ModelParameters parameters{.m_deployment = UnevenDeployment(),
+                               .m_work = pattern.m_work,
+                               .m_entry_hosts = 36,
+                               .m_offered_load = pattern.m_offered_load};
+    parameters.m_work.m_plans_regions = plans_regions;
+    benchmark::RegisterBenchmark(
+        ("Cost/" + std::string(pattern.m_name) + "/" + policy).c_str(),
+        [parameters](benchmark::State& state) {
+          RunModel<P>(state, parameters);
+        })
+        ->Iterations(1)
+        ->Unit(benchmark::kMillisecond);
+  }
+}
+
 // Cost of selecting an instance and releasing its slot, with the given number
 // of instances of 9 slots.
 template <class P>
@@ -112,6 +162,11 @@
   Register<steering::LeastConnectionsPolicy>("least_connections");
   Register<steering::TwoChoicesPolicy>("two_choices");
   Register<steering::HeadroomLatencyPolicy>("headroom_latency");
+  RegisterCost<steering::LeastConnectionsPolicy>("least_connections", false);
+  RegisterCost<steering::TwoChoicesPolicy>("two_choices", false);
+  RegisterCost<steering::AffinityPolicy>("affinity", false);
+  RegisterCost<steering::AffinityPolicy>("affinity_planned", true);
+  RegisterCost<steering::CostPolicy>("cost", true);
   return true;
 }();
 
--- a/bench/steering_model.h
+++ b/bench/steering_model.h
@@ -1,16 +1,21 @@
 // Queueing model of entry hosts and instances, for the comparison of policies.
 //
-// Sections: parameters, results, model. A run is a pure function of its
-// parameters and the seed; time is simulated. Arrivals are Poisson, service
-// times exponential with a minimum. Requests beyond the slots of an instance
-// wait in its queue; an instance with a full queue refuses a request before
-// execution, and the entry host counts the request as refused. Allotments are
-// disabled, so that hosts compete for the same instances: the policies are
-// compared by how well they avoid this.
+// Parameters and results are in steering_scenario.h. A run is a pure function
+// of its parameters and the seed; time is simulated. Arrivals are Poisson,
+// service times exponential with a minimum. Requests beyond the slots of an
+// instance wait in its queue; an instance with a full queue refuses a request
+// before execution, and the entry host counts the request as refused.
+// Allotments are disabled, so that hosts compete for the same instances: the
+// policies are compared by how well they avoid this.
+//
+// With ModelWork, requests concern objects that instances remember, work has a
+// heavy tail, machines are slow for moments, and instances state their load in
+// responses instead of announcements.
 
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstdint>
 #include <deque>
@@ -19,80 +24,14 @@
 #include <tuple>
 #include <vector>
 
+#include "bench/steering_scenario.h"
+#include "core/hash.h"
+#include "steering/cost_policy.h"
 #include "steering/selector.h"
 #include "steering/upstream_view.h"
 
 namespace jujube::bench {
 
-using std::chrono::milliseconds;
-using std::chrono::nanoseconds;
-
-// ---- parameters ----
-
-enum class FaultKind { kNone, kFalseReport, kFrozenReports, kZoneLost };
-
-struct ModelService {
-  const char* m_name = "";
-  int m_instances = 0;
-  int m_slots = 0;
-};
-
-struct ModelDeployment {
-  const char* m_name = "";
-  std::vector<std::vector<const char*>> m_regions;  // zones by region
-  milliseconds m_region_delay{0};
-  ModelService m_service;
-  Weights m_weights;
-};
-
-// Small instances, weights favor headroom (section 3 of the design page).
-inline ModelDeployment CooperativeDeployment() {
-  return {.m_name = "cooperative",
-          .m_regions = {{"luz-caloocan", "luz-batangas"},
-                        {"vis-mandaue", "vis-iloilo"},
-                        {"min-davao", "min-cdo"}},
-          .m_region_delay = milliseconds(12),
-          .m_service = {"tankview", 16, 3},
-          .m_weights = {.m_headroom = 3, .m_latency = 1}};
-}
-
-// Larger instances, weights favor latency.
-inline ModelDeployment LabDeployment() {
-  return {.m_name = "lab",
-          .m_regions = {{"cerro-a", "buceo-b"},
-                        {"paysandu-a", "salto-b"},
-                        {"rivera-a", "tacuarembo-b"}},
-          .m_region_delay = milliseconds(35),
-          .m_service = {"portal-cli", 18, 9},
-          .m_weights = {.m_headroom = 1, .m_latency = 3}};
-}
-
-struct ModelParameters {
-  ModelDeployment m_deployment;
-  FaultKind m_fault = FaultKind::kNone;
-  double m_offered_load = 0.7;  // requests over slots, before any fault
-  std::uint64_t m_seed = 1;
-};
-
-inline constexpr int kEntryHosts = 7;
-inline constexpr milliseconds kServiceTime{20};
-inline constexpr milliseconds kMeasurementStart{10000};
-inline constexpr milliseconds kEndTime{70000};
-inline constexpr milliseconds kReportInterval{500};
-inline constexpr milliseconds kReportDelay{50};  // relay between entry hosts
-
-// ---- results ----
-
-struct ModelResult {
-  double m_p50_ms = 0;           // ms of waiting: queue and travel, not service
-  double m_p99_ms = 0;           // ms
-  double m_p999_ms = 0;          // ms
-  double m_max_utilization = 0;  // requests at an instance over its slots,
-                                 // largest one-second average
-  double m_refused = 0;          // share of the requests
-  std::uint64_t m_requests = 0;
-};
-
 // ---- model ----
 
 template <steering::SelectionPolicy P>
@@ -102,19 +41,26 @@
       : m_parameters(parameters), m_random(parameters.m_seed) {
     BuildDeployment();
     const auto& zones = m_deployment.m_availability_zones;
-    for (int i = 0; i < parameters.m_deployment.m_service.m_instances; ++i)
+    const auto& by_zone = parameters.m_deployment.m_instances_by_zone;
+    for (std::size_t zone = 0; zone < by_zone.size(); ++zone)
+      m_instances.resize(
+          m_instances.size() + static_cast<std::size_t>(by_zone[zone]),
+          {.m_zone = zone});
+    for (int i = 0;
+         by_zone.empty() && i < parameters.m_deployment.m_service.m_instances;
+         ++i)
       m_instances.push_back(
           {.m_zone = static_cast<std::size_t>(i) % zones.size()});
-    m_counters.resize(kEntryHosts);
-    m_views.resize(kEntryHosts);
-    for (std::size_t host = 0; host < kEntryHosts; ++host)
+    m_counters.resize(HostCount());
+    m_views.resize(HostCount());
+    for (std::size_t host = 0; host < HostCount(); ++host)
       m_selectors.emplace_back(parameters.m_seed * 100 + host);
   }
 
   ModelResult Run() {
     Schedule({.m_at = nanoseconds(0), .m_kind = Kind::kReport});
-    for (std::size_t host = 0; host < kEntryHosts; ++host)
-      Schedule({.m_at = InterarrivalTime(),
+    for (std::size_t host = 0; host < HostCount(); ++host)
+      Schedule({.m_at = InterarrivalTime(host),
                 .m_kind = Kind::kArrival,
                 .m_host = host});
     while (!m_events.empty() && m_events.top().m_at < kEndTime) {
@@ -147,6 +93,9 @@
     nanoseconds m_arrived{0};
     nanoseconds m_wait_time{0};
     steering::Selection m_selection;
+    std::uint64_t m_object = 0;       // 0: none
+    nanoseconds m_sent{0};            // last attempt
+    std::vector<InstanceId> m_tried;  // refused by these
   };
   struct Instance {
     std::size_t m_zone = 0;
@@ -157,8 +106,17 @@
     double m_request_seconds = 0;  // in the current second
     std::int64_t m_current_second = 0;
     double m_max_utilization = 0;
+    std::deque<std::uint64_t> m_known;  // objects, the last used one first
   };
 
+  std::size_t HostCount() const {
+    return static_cast<std::size_t>(m_parameters.m_entry_hosts);
+  }
+  std::size_t ZoneCount() const {
+    return m_deployment.m_availability_zones.size();
+  }
+  bool HasObjects() const { return m_parameters.m_work.m_objects > 0; }
+
   void BuildDeployment() {
     const ModelDeployment& source = m_parameters.m_deployment;
     m_deployment.m_weights = source.m_weights;
@@ -185,12 +143,19 @@
     return nanoseconds(
         static_cast<std::int64_t>(-std::log(Uniform()) * mean_ns));
   }
-  nanoseconds InterarrivalTime() {
+  nanoseconds InterarrivalTime(std::size_t host) {
     const ModelService& service = m_parameters.m_deployment.m_service;
     const double in_progress =
         m_parameters.m_offered_load * service.m_instances * service.m_slots;
-    return Exponential(static_cast<double>(nanoseconds(kServiceTime).count()) /
-                       in_progress * kEntryHosts);
+    const nanoseconds work =
+        HasObjects() ? nanoseconds(m_parameters.m_work.m_work) : kServiceTime;
+    const ModelWork& model = m_parameters.m_work;
+    const bool is_wave = HasObjects() && m_now >= model.m_wave_start &&
+                         m_now < model.m_wave_end &&
+                         host % ZoneCount() >= ZoneCount() - 2;
+    return Exponential(static_cast<double>(work.count()) / in_progress *
+                       m_parameters.m_entry_hosts /
+                       (is_wave ? model.m_wave_factor : 1));
   }
   // Half of the service time is constant, the other half exponential.
   nanoseconds ServiceTime() {
@@ -198,6 +163,49 @@
     return half + Exponential(static_cast<double>(half.count()));
   }
 
+  // True for moments of kSlowMoment at a part of the machines.
+  bool IsSlow(std::size_t instance) const {
+    constexpr std::uint64_t kRange = 1000;
+    const auto moment = static_cast<std::uint64_t>(m_now / kSlowMoment);
+    return MixHash(MixHash(instance, moment), m_parameters.m_seed) % kRange <
+           m_parameters.m_work.m_slow_share * kRange;
+  }
+
+  // Work of a request that starts now; the instance remembers its object.
+  nanoseconds ObjectWork(const Request& request) {
+    const ModelWork& work = m_parameters.m_work;
+    std::deque<std::uint64_t>& known = m_instances[request.m_instance].m_known;
+    const auto found = std::find(known.begin(), known.end(), request.m_object);
+    double factor = 0.85 + 0.3 * Uniform();
+    if (found != known.end()) {
+      factor *= work.m_known_part;
+      known.erase(found);
+    }
+    known.push_front(request.m_object);
+    if (known.size() > work.m_kept)
+      known.pop_back();
+    if (Uniform() < work.m_tail_share)
+      factor *= work.m_tail_factor;
+    if (IsSlow(request.m_instance))
+      factor *= work.m_slow_factor;
+    return nanoseconds(static_cast<std::int64_t>(
+        factor * static_cast<double>(nanoseconds(work.m_work).count())));
+  }
+
+  // An object of the zone of the host.
+  std::uint64_t DrawObject(std::size_t host) {
+    if (!HasObjects())
+      return 0;
+    const std::size_t zones = ZoneCount();
+    const std::size_t of_zone =
+        static_cast<std::size_t>(m_parameters.m_work.m_objects) / zones;
+    const auto number =
+        static_cast<std::uint64_t>(Uniform() * static_cast<double>(of_zone));
+    return Hash64(std::to_string(number * zones + host % zones),
+                  m_parameters.m_seed) |
+           1U;
+  }
+
   bool IsLost(const Instance& instance) const {
     return m_parameters.m_fault == FaultKind::kZoneLost &&
            instance.m_zone == 0 && m_now >= kMeasurementStart / 2;
@@ -263,52 +271,80 @@
                m_instances[i].m_reported_in_progress),
            .m_reported_at = m_reported_at});
     }
-    for (std::size_t host = 0; host < kEntryHosts; ++host) {
-      const auto& zones = m_deployment.m_availability_zones;
+    const auto& zones = m_deployment.m_availability_zones;
+    std::optional<std::map<AvailabilityZoneId, std::uint32_t>> hosts_by_zone;
+    if (m_parameters.m_work.m_plans_regions) {
+      hosts_by_zone.emplace();
+      for (std::size_t host = 0; host < HostCount(); ++host)
+        ++(*hosts_by_zone)[zones[host % zones.size()].m_name];
+    }
+    for (std::size_t host = 0; host < HostCount(); ++host) {
       m_views[host] = BuildView({.m_registry = registry,
                                  .m_deployment = m_deployment,
                                  .m_drains = {},
                                  .m_zone = zones[host % zones.size()].m_name,
+                                 .m_queue_factor = HasObjects() ? 2U : 1U,
+                                 .m_entry_hosts_by_zone = hosts_by_zone,
                                  .m_grants = {}},
                                 m_counters[host]);
     }
   }
 
   void OnArrival(std::size_t host) {
-    Schedule({.m_at = m_now + InterarrivalTime(),
+    Schedule({.m_at = m_now + InterarrivalTime(host),
               .m_kind = Kind::kArrival,
               .m_host = host});
     if (m_views[host].m_services.empty())
       return;
     CountIfMeasured(m_result.m_requests);
-    auto selection = m_selectors[host].Select(
-        m_views[host].m_services[0],
-        {.m_now = MonoNow(), .m_weights = m_deployment.m_weights});
+    m_requests.push_back(
+        {.m_host = host, .m_arrived = m_now, .m_object = DrawObject(host)});
+    Send(m_requests.size() - 1);
+  }
+
+  // Selects an instance and sends the request there.
+  void Send(std::size_t index) {
+    Request& request = m_requests[index];
+    const nanoseconds remaining =
+        request.m_arrived + m_parameters.m_work.m_deadline - m_now;
+    auto selection = m_selectors[request.m_host].Select(
+        m_views[request.m_host].m_services[0],
+        {.m_now = MonoNow(),
+         .m_weights = m_deployment.m_weights,
+         .m_tried = request.m_tried,
+         .m_object = request.m_object,
+         .m_remaining =
+             HasObjects() ? std::optional(remaining) : std::nullopt});
     if (!selection) {
-      CountIfMeasured(m_refused);
+      m_refused += request.m_arrived >= kMeasurementStart ? 1 : 0;
       return;
     }
-    const std::size_t instance = std::stoul(selection->m_instance.m_value);
+    request.m_instance = std::stoul(selection->m_instance.m_value);
+    request.m_sent = m_now;
+    request.m_wait_time += 2 * nanoseconds(selection->m_delay);
     const nanoseconds delay = selection->m_delay;
-    m_requests.push_back({.m_host = host,
-                          .m_instance = instance,
-                          .m_arrived = m_now,
-                          .m_wait_time = 2 * delay,
-                          .m_selection = std::move(*selection)});
+    request.m_selection = std::move(*selection);
     Schedule({.m_at = m_now + delay,
               .m_kind = Kind::kReachInstance,
-              .m_request = m_requests.size() - 1});
+              .m_request = index});
   }
 
   void OnReachInstance(std::size_t index) {
     Request& request = m_requests[index];
     Instance& instance = m_instances[request.m_instance];
     const int slots = m_parameters.m_deployment.m_service.m_slots;
+    const int queue_length =
+        HasObjects() ? slots * m_parameters.m_work.m_queue_factor : slots;
     if (IsLost(instance) ||
-        static_cast<int>(instance.m_queue.size()) >= slots) {
+        static_cast<int>(instance.m_queue.size()) >= queue_length) {
       const bool is_lost = IsLost(instance);
       FinishRequest(request, is_lost ? steering::Outcome::kFailure
                                      : steering::Outcome::kShed);
+      constexpr std::size_t kMaxTried = 1;
+      if (HasObjects() && request.m_tried.size() < kMaxTried) {
+        request.m_tried.push_back({std::to_string(request.m_instance)});
+        return Send(index);
+      }
       if (request.m_arrived >= kMeasurementStart)
         ++m_refused;
       return;
@@ -321,10 +357,17 @@
   }
 
   void Start(std::size_t index) {
-    ++m_instances[m_requests[index].m_instance].m_running;
-    Schedule({.m_at = m_now + ServiceTime(),
-              .m_kind = Kind::kFinish,
-              .m_request = index});
+    Request& request = m_requests[index];
+    ++m_instances[request.m_instance].m_running;
+    nanoseconds work = HasObjects() ? ObjectWork(request) : ServiceTime();
+    // An instance stops work at the deadline.
+    if (HasObjects()) {
+      work = std::clamp<nanoseconds>(
+          request.m_arrived + m_parameters.m_work.m_deadline - m_now,
+          nanoseconds(0), work);
+    }
+    Schedule(
+        {.m_at = m_now + work, .m_kind = Kind::kFinish, .m_request = index});
   }
 
   void OnFinish(std::size_t index) {
@@ -341,9 +384,58 @@
     // The entry host releases the slot when the response arrives. The model
     // releases it now, because the travel time of the response is short against
     // the report interval.
+    const nanoseconds latency =
+        m_now - request.m_arrived + nanoseconds(request.m_selection.m_delay);
+    const ModelWork& work = m_parameters.m_work;
+    const bool is_complete = !HasObjects() || latency < work.m_deadline;
+    LearnFrom(request, is_complete);
     FinishRequest(request, steering::Outcome::kSuccess);
-    if (request.m_arrived >= kMeasurementStart)
-      m_wait_times.push_back(request.m_wait_time);
+    if (request.m_arrived < kMeasurementStart)
+      return;
+    m_wait_times.push_back(HasObjects() ? latency : request.m_wait_time);
+    if (latency <= work.m_target)
+      ++m_in_time;
+    if (is_complete)
+      m_result.m_worth += latency <= work.m_target ? 1 : work.m_late_worth;
+  }
+
+  // What the entry host learns from a response.
+  void LearnFrom(const Request& request, bool is_complete) {
+    const auto& forecast = request.m_selection.m_forecast;
+    steering::WorkEstimator* estimator =
+        m_views[request.m_host].m_services[0].m_work.get();
+    if (!HasObjects())
+      return;
+    steering::InstanceCounters& counters =
+        *request.m_selection.m_slot.Counters();
+    const Instance& instance = m_instances[request.m_instance];
+    const auto waiting = static_cast<std::uint32_t>(instance.m_queue.size());
+    const auto slots =
+        static_cast<std::uint32_t>(m_parameters.m_deployment.m_service.m_slots);
+    counters.RecordReport(
+        {.m_in_progress =
+             static_cast<std::uint32_t>(instance.m_running) + waiting,
+         .m_waiting = waiting,
+         .m_slots = slots,
+         .m_work_time_permille = static_cast<std::uint32_t>(
+             IsSlow(request.m_instance)
+                 ? 1000 * m_parameters.m_work.m_slow_factor
+                 : 1000)},
+        MonoNow());
+    if (!forecast || estimator == nullptr)
+      return;
+    const steering::ReportedLoad load = counters.Load();
+    estimator->RecordLoad(load, counters.Observe().m_in_progress, slots);
+    estimator->Record(
+        {.m_acquaintance = forecast->m_acquaintance,
+         .m_elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+             m_now - request.m_sent - request.m_selection.m_delay),
+         .m_expected_wait = forecast->m_cost.m_wait,
+         .m_work_time_permille = load.m_work_time_permille,
+         .m_is_lower_bound = !is_complete},
+        MonoNow());
+    if (is_complete)
+      estimator->Placements().Remember(forecast->m_placement, MonoNow());
   }
 
   void FinishRequest(Request& request, steering::Outcome outcome) {
@@ -398,6 +490,9 @@
           std::max(m_result.m_max_utilization,
                    instance.m_max_utilization /
                        m_parameters.m_deployment.m_service.m_slots);
+    const auto requests = static_cast<double>(m_result.m_requests);
+    m_result.m_in_time = static_cast<double>(m_in_time) / requests;
+    m_result.m_worth /= requests;
     m_result.m_refused = static_cast<double>(m_refused) /
                          static_cast<double>(m_result.m_requests);
     return m_result;
@@ -417,6 +512,7 @@
   MonoTime m_reported_at;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_refused = 0;
+  std::uint64_t m_in_time = 0;
   ModelResult m_result;
 };
 
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -424,6 +424,18 @@
                   static_cast<std::uint32_t>(*total_burst / hosts));
 }
 
+const std::map<AvailabilityZoneId, std::uint32_t>&
+EntryControl::CountEntryHostsByZone(MonoTime now) {
+  std::map<AvailabilityZoneId, std::uint32_t> counts;
+  for (const EntryHostState& host : m_entry_host_directory.UsableHosts(now))
+    ++counts[host.m_presence.m_availability_zone];
+  for (const auto& [zone, count] : counts) {
+    std::uint32_t& highest = m_entry_hosts_by_zone[zone];
+    highest = std::max(highest, count);
+  }
+  return m_entry_hosts_by_zone;
+}
+
 void EntryControl::PublishView() {
   m_is_view_outdated = false;
   m_published_registry_version = m_registry.Version();
@@ -440,6 +452,10 @@
       .m_queue_factor = m_shared.m_settings.m_discovers_control
                             ? steering::AffinityPolicy::kQueueFactor
                             : 1,
+      .m_entry_hosts_by_zone =
+          m_shared.m_settings.m_selects_by_cost
+              ? std::optional(CountEntryHostsByZone(MonoClock::now()))
+              : std::nullopt,
       .m_retry_burst = LocalRetryBurst(),
       .m_grants =
           UsesAllotments() ? std::optional(m_slot_grants) : std::nullopt};
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -78,6 +78,8 @@
   void RebuildLookup();
   void TrackLimits();
   std::uint32_t LocalRetryBurst() const;
+  const std::map<AvailabilityZoneId, std::uint32_t>& CountEntryHostsByZone(
+      MonoTime now);
   void PublishView();
   void UpdateHostCap(MonoTime now);
   void UpdateEntryHostLists(MonoTime now);
@@ -154,6 +156,10 @@
   std::optional<MonoTime> m_behind_since;
   std::vector<HostId> m_entry_hosts;  // hosts that may forward requests
   membership::EntryHostDirectory m_entry_host_directory;
+  // Highest number of entry hosts seen in each availability zone, with
+  // selects_by_cost. Not reduced when hosts fail, because the share of the
+  // objects that a region keeps must not change with every host.
+  std::map<AvailabilityZoneId, std::uint32_t> m_entry_hosts_by_zone;
   lookup::EntryHostLists m_entry_host_lists;  // as published
   MonoTime m_entry_host_lists_due;  // next time to bring them up to date
   std::atomic<bool> m_is_ready = false;
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -23,6 +23,7 @@
 #include "entry/dialect.h"
 #include "entry/entry_shared.h"
 #include "entry/refusal.h"
+#include "entry/request_cost.h"
 #include "entry/request_metrics.h"
 #include "entry/route.h"
 #include "entry/tracer.h"
@@ -112,6 +113,7 @@
   AttemptWatch m_watch;
   Tracer m_tracer;
   RequestMetrics m_metrics;
+  RequestCost m_cost;
   std::size_t m_next_demand_position = 0;
   steering::FastRandom m_random;
   steering::Selector<P> m_selector;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -137,6 +137,8 @@
   Weights m_weights;  // selection weights of the deployment
   RegionId m_region;  // region of this host
   std::shared_ptr<steering::RetryBudget> m_retry_budget;
+  // Null if upstreams are not selected by cost.
+  std::shared_ptr<steering::WorkEstimator> m_work;
   request::Deadline m_deadline;
   MonoTime m_received_at;
   bool m_is_repeatable = true;
@@ -385,6 +387,7 @@
       m_shared.m_settings.m_retry_budget_permille.value_or(
           request.m_service.m_retry_budget_permille);
   request.m_retry_budget = service->m_budget;
+  request.m_work = service->m_work;
   request.m_weights = view.m_upstreams->m_weights;
   request.m_region = view.m_region;
   request.m_is_repeatable = request.m_route.m_is_repeatable.value_or(
@@ -673,7 +676,9 @@
                    .m_tried = excluded,
                    .m_closed = full_regions,
                    .m_allowed = request.m_route.m_allowed_regions,
-                   .m_object = request.m_route.m_affinity_hash});
+                   .m_object = request.m_route.m_affinity_hash,
+                   .m_route = RouteHash(request.m_route),
+                   .m_remaining = request::Remaining(request.m_deadline, now)});
     if (!selection) {
       RecordUnmetDemand(view, *service);
       return std::nullopt;
@@ -743,6 +748,10 @@
       forwarder_internal::OutcomeOf(result);
   if (outcome)
     selection.m_slot.Counters()->Record(*outcome, ended - started, ended);
+  if (request.m_work != nullptr) {
+    m_cost.Record(request.m_route, selection, result, started, ended,
+                  *request.m_work);
+  }
   co_return result;
 }
 
@@ -825,7 +834,10 @@
     m_metrics.CountRefusal(RefusalCause::kNoSlot);
   const Refusal refusal{.m_status = 503,
                         .m_verdict = request.m_verdict,
-                        .m_reason = "no instance has a free slot",
+                        .m_reason = m_selector.IsExpectedLate()
+                                        ? "the response would come after the "
+                                          "deadline"
+                                        : "no instance has a free slot",
                         .m_retry_after = std::chrono::seconds(1)};
   co_await Refuse(exchange, &request, refusal);
 }
--- a/src/steering/counter_table.cc
+++ b/src/steering/counter_table.cc
@@ -19,6 +19,14 @@
   return budget;
 }
 
+std::shared_ptr<WorkEstimator> CounterTable::GetOrCreateEstimator(
+    const ServiceId& service) {
+  std::shared_ptr<WorkEstimator>& estimator = m_estimators[service];
+  if (!estimator)
+    estimator = std::make_shared<WorkEstimator>();
+  return estimator;
+}
+
 void CounterTable::Prune(MonoTime now) {
   // Only the control thread creates references from the table, so a use count
   // of one cannot grow concurrently.
@@ -30,6 +38,8 @@
   });
   std::erase_if(m_budgets,
                 [](const auto& item) { return item.second.use_count() == 1; });
+  std::erase_if(m_estimators,
+                [](const auto& item) { return item.second.use_count() == 1; });
 }
 
 }  // namespace jujube::steering
--- a/src/steering/counter_table.h
+++ b/src/steering/counter_table.h
@@ -15,6 +15,7 @@
 #include "membership/instance_key.h"
 #include "steering/instance_counters.h"
 #include "steering/retry_budget.h"
+#include "steering/work_estimate.h"
 
 namespace jujube::steering {
 
@@ -30,6 +31,8 @@
 
   std::shared_ptr<RetryBudget> GetOrCreateBudget(const ServiceId& service);
 
+  std::shared_ptr<WorkEstimator> GetOrCreateEstimator(const ServiceId& service);
+
   // Removes counters that neither a view nor a request refers to. Those of an
   // instance that stated that it is leaving are kept for kLeaveRetention, in
   // case a later view contains the same incarnation again. Call it after
@@ -43,6 +46,7 @@
            std::shared_ptr<InstanceCounters>>
       m_instances;
   std::map<ServiceId, std::shared_ptr<RetryBudget>> m_budgets;
+  std::map<ServiceId, std::shared_ptr<WorkEstimator>> m_estimators;
 };
 
 }  // namespace jujube::steering
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -22,6 +22,23 @@
 // requests away for good.
 constexpr std::chrono::milliseconds kMaxPause = std::chrono::minutes(10);
 
+constexpr unsigned kLoadFieldBits = 16;
+constexpr std::uint32_t kMaxLoadField = (1U << kLoadFieldBits) - 1;
+
+std::uint64_t PackLoad(std::uint32_t waiting,
+                       std::uint32_t slots,
+                       std::uint32_t work_time_permille) {
+  std::uint64_t packed = 0;
+  for (const std::uint32_t field : {work_time_permille, slots, waiting})
+    packed = (packed << kLoadFieldBits) | std::min(field, kMaxLoadField);
+  return packed;
+}
+
+std::uint32_t UnpackLoadField(std::uint64_t packed, unsigned index) {
+  return static_cast<std::uint32_t>(packed >> (index * kLoadFieldBits)) &
+         kMaxLoadField;
+}
+
 }  // namespace
 
 bool InstanceCounters::TryAcquire(std::uint32_t limit) {
@@ -77,8 +94,7 @@
 
 ReportChanges InstanceCounters::RecordReport(const InstanceReport& report,
                                              MonoTime now) {
-  if (report.m_in_progress)
-    RecordLoad(*report.m_in_progress, now);
+  RecordLoad(report, now);
   if (report.m_pause)
     RecordPause(now + std::clamp(*report.m_pause, {}, kMaxPause));
   const bool has_begun_to_leave =
@@ -98,17 +114,34 @@
   }
 }
 
-void InstanceCounters::RecordLoad(std::uint32_t total_in_progress,
-                                  MonoTime now) {
+void InstanceCounters::RecordLoad(const InstanceReport& report, MonoTime now) {
+  if (!report.m_in_progress)
+    return;
+  const std::uint32_t total_in_progress = *report.m_in_progress;
   const std::uint32_t own_in_progress =
       m_in_progress.load(std::memory_order_relaxed);
   m_others_in_progress.store(total_in_progress > own_in_progress
                                  ? total_in_progress - own_in_progress
                                  : 0,
                              std::memory_order_relaxed);
+  m_reported_load.store(
+      PackLoad(report.m_waiting.value_or(0), report.m_slots.value_or(0),
+               report.m_work_time_permille.value_or(0)),
+      std::memory_order_relaxed);
   m_others_reported_at.store(now, std::memory_order_relaxed);
 }
 
+ReportedLoad InstanceCounters::Load() const {
+  const std::uint64_t packed = m_reported_load.load(std::memory_order_relaxed);
+  return {.m_others_in_progress =
+              m_others_in_progress.load(std::memory_order_relaxed),
+          .m_waiting = UnpackLoadField(packed, 0),
+          .m_slots = UnpackLoadField(packed, 1),
+          .m_work_time_permille =
+              std::max(UnpackLoadField(packed, 2), kUsualWorkTimePermille),
+          .m_at = m_others_reported_at.load(std::memory_order_relaxed)};
+}
+
 Observation InstanceCounters::Observe() const {
   Observation observation{
       .m_in_progress = m_in_progress.load(std::memory_order_relaxed),
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -18,6 +18,7 @@
 #include "steering/observation.h"
 #include "steering/rate_limiter.h"
 #include "steering/report_changes.h"
+#include "steering/reported_load.h"
 
 namespace jujube::steering {
 
@@ -48,6 +49,9 @@
   // The fields are read separately and may belong to different points in time.
   Observation Observe() const;
 
+  // Load as last reported.
+  ReportedLoad Load() const;
+
   // Ejected or replaced: no requests may be sent to the instance, and requests
   // already sent to it are considered lost.
   bool IsSetAside(MonoTime now) const {
@@ -84,8 +88,9 @@
   void DecrementEjectionCount();
 
  private:
-  // `total_in_progress` includes the requests of this host.
-  void RecordLoad(std::uint32_t total_in_progress, MonoTime now);
+  // Records the load if the instance stated the requests in progress there,
+  // which include those of this host.
+  void RecordLoad(const InstanceReport& report, MonoTime now);
   // Extends the pause. A later response does not shorten it.
   void RecordPause(MonoTime until);
 
@@ -96,6 +101,9 @@
   std::atomic<MonoTime> m_last_cold_request_at{MonoTime{}};
   std::atomic<std::uint32_t> m_others_in_progress = 0;
   std::atomic<MonoTime> m_others_reported_at{MonoTime{}};
+  // Waiting requests, slots and time of work, 16 bits each, so that the values
+  // of different reports are not mixed.
+  std::atomic<std::uint64_t> m_reported_load = 0;
   std::atomic<MonoTime> m_last_outcome_at{MonoTime{}};
   std::atomic<MonoTime> m_ejected_until{MonoTime{}};
   std::atomic<MonoTime> m_replaced_until{MonoTime{}};
--- a/src/steering/selection.h
+++ b/src/steering/selection.h
@@ -4,9 +4,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "gen/types.h"
 #include "steering/slot_guard.h"
+#include "steering/work_forecast.h"
 
 namespace jujube::steering {
 
@@ -19,6 +21,7 @@
   RegionId m_region;                     // for the caps of the region and link
   std::chrono::milliseconds m_delay{0};  // one-way network delay
   SlotGuard m_slot;                      // call Counters()->Record at the end
+  std::optional<WorkForecast> m_forecast;  // empty: not selected by cost
 };
 
 }  // namespace jujube::steering
--- a/src/steering/selection_context.h
+++ b/src/steering/selection_context.h
@@ -2,6 +2,9 @@
 
 #pragma once
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <span>
 
 #include "core/clock.h"
@@ -17,6 +20,9 @@
   std::span<const RegionId> m_closed;   // regions at their cap
   std::span<const RegionId> m_allowed;  // permitted regions; empty: all
   std::uint64_t m_object = 0;           // hash of the requested object; 0: none
+  std::uint64_t m_route = 0;            // hash of the route
+  // Time until the deadline; empty: none.
+  std::optional<std::chrono::nanoseconds> m_remaining = {};
 };
 
 }  // namespace jujube::steering
--- a/src/steering/selection_policy.h
+++ b/src/steering/selection_policy.h
@@ -10,6 +10,11 @@
 //   TwoChoicesPolicy         the less utilized one of two random candidates
 //   HeadroomLatencyPolicy    the default, uses the Weights of the deployment
 //
+// A policy that needs more than the candidates gets the service and the context
+// of the selection, and returns a CostChoice:
+//
+//   CostPolicy               least expected time until the response
+//
 // docs/steering.md compares them.
 
 #pragma once
@@ -20,16 +25,33 @@
 
 #include "gen/deployment.h"
 #include "steering/candidate.h"
+#include "steering/cost_choice.h"
 #include "steering/fast_random.h"
+#include "steering/selection_context.h"
+#include "steering/service_upstreams.h"
 
 namespace jujube::steering {
 
 template <class P>
-concept SelectionPolicy = requires(P& policy,
+concept CandidatePolicy = requires(P& policy,
                                    std::span<const Candidate> candidates,
                                    const Weights& weights,
                                    FastRandom& random) {
   { policy.Pick(candidates, weights, random) } -> std::same_as<std::size_t>;
 };
 
+template <class P>
+concept ServicePolicy = requires(P& policy,
+                                 const ServiceUpstreams& service,
+                                 const SelectionContext& context,
+                                 std::span<const Candidate> candidates,
+                                 FastRandom& random) {
+  {
+    policy.Pick(service, context, candidates, random)
+    } -> std::same_as<CostChoice>;
+};
+
+template <class P>
+concept SelectionPolicy = CandidatePolicy<P> || ServicePolicy<P>;
+
 }  // namespace jujube::steering
--- a/src/steering/selector.h
+++ b/src/steering/selector.h
@@ -37,15 +37,16 @@
   std::optional<Selection> Select(const ServiceUpstreams& service,
                                   const SelectionContext& context) {
     CollectCandidates(service, context, m_candidates);
+    m_is_expected_late = false;
     while (!m_candidates.empty()) {
-      const std::size_t position =
-          m_policy.Pick(m_candidates, context.m_weights, m_random);
+      std::optional<WorkForecast> forecast;
+      const std::size_t position = Pick(service, context, forecast);
       if (position >= m_candidates.size())
         return std::nullopt;
       const Candidate candidate = m_candidates[position];
       const Upstream& upstream = service.m_upstreams[candidate.m_index];
       if (TryAcquireSlot(upstream, candidate, context.m_now))
-        return MakeSelection(upstream);
+        return MakeSelection(upstream, forecast);
       // Since the candidates were collected, another thread has taken the last
       // slot or started a request to the cold instance.
       m_candidates.erase(m_candidates.begin() +
@@ -54,7 +55,25 @@
     return std::nullopt;
   }
 
+  // The last selection was empty because the response would come after the
+  // deadline.
+  bool IsExpectedLate() const { return m_is_expected_late; }
+
  private:
+  std::size_t Pick(const ServiceUpstreams& service,
+                   const SelectionContext& context,
+                   std::optional<WorkForecast>& forecast) {
+    if constexpr (ServicePolicy<P>) {
+      const CostChoice choice =
+          m_policy.Pick(service, context, m_candidates, m_random);
+      m_is_expected_late = choice.m_is_expected_late;
+      forecast = choice.m_forecast;
+      return choice.m_position;
+    } else {
+      return m_policy.Pick(m_candidates, context.m_weights, m_random);
+    }
+  }
+
   static bool TryAcquireSlot(const Upstream& upstream,
                              const Candidate& candidate,
                              MonoTime now) {
@@ -70,18 +89,21 @@
     return false;
   }
 
-  static Selection MakeSelection(const Upstream& upstream) {
+  static Selection MakeSelection(const Upstream& upstream,
+                                 const std::optional<WorkForecast>& forecast) {
     const Announcement& announcement = upstream.m_member.m_announcement;
     return {.m_instance = announcement.m_instance,
             .m_incarnation = announcement.m_incarnation,
             .m_endpoint = announcement.m_endpoint,
             .m_region = upstream.m_region,
             .m_delay = upstream.m_delay,
-            .m_slot = SlotGuard(upstream.m_counters)};
+            .m_slot = SlotGuard(upstream.m_counters),
+            .m_forecast = forecast};
   }
 
   P m_policy;
   FastRandom m_random;
+  bool m_is_expected_late = false;
   std::vector<Candidate> m_candidates;  // member to reuse its memory
 };
 
--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -6,6 +6,7 @@
 #include "core/hash.h"
 #include "steering/cold_request_interval.h"
 #include "steering/object_weight.h"
+#include "steering/region_shares.h"
 
 namespace jujube::steering {
 namespace {
@@ -18,6 +19,9 @@
 // any current link.
 constexpr std::chrono::milliseconds kUnlinkedRegionDelay{100};
 
+// Share of a region that has none by the plan.
+constexpr double kMinRegionShare = 1e-4;
+
 const AvailabilityZone* FindZone(const Deployment& deployment,
                                  const AvailabilityZoneId& name) {
   const auto& zones = deployment.m_availability_zones;
@@ -110,6 +114,53 @@
     upstream.m_object_weight = ObjectWeight(upstream.m_tier, zone_slots);
 }
 
+// Distributes the objects of this host's region by the plan for regions. Within
+// the region, zones keep their objects as without a plan.
+void SetPlannedObjectWeights(const ViewInputs& inputs,
+                             ServiceUpstreams& service) {
+  const auto& zones = inputs.m_deployment.m_availability_zones;
+  const AvailabilityZone* own_zone =
+      FindZone(inputs.m_deployment, inputs.m_zone);
+  if (own_zone == nullptr)
+    return;
+  std::map<RegionId, RegionCapacity> capacity_by_region;
+  for (const AvailabilityZone& zone : zones) {
+    const auto hosts = inputs.m_entry_hosts_by_zone->find(zone.m_name);
+    if (hosts != inputs.m_entry_hosts_by_zone->end())
+      capacity_by_region[zone.m_region].m_entry_hosts += hosts->second;
+  }
+  std::map<RegionId, double> weight_by_region;
+  for (const Upstream& upstream : service.m_upstreams) {
+    if (upstream.m_is_draining)
+      continue;
+    capacity_by_region[upstream.m_region].m_slots +=
+        upstream.m_member.m_announcement.m_slots;
+    weight_by_region[upstream.m_region] += upstream.m_object_weight;
+  }
+  std::vector<RegionId> regions;
+  std::vector<RegionCapacity> capacities;
+  for (const auto& [region, capacity] : capacity_by_region) {
+    regions.push_back(region);
+    capacities.push_back(capacity);
+  }
+  const auto own =
+      std::lower_bound(regions.begin(), regions.end(), own_zone->m_region);
+  const std::vector<double> shares = PlanRegionShares(
+      capacities, static_cast<std::size_t>(own - regions.begin()));
+  std::map<RegionId, double> share_by_region;
+  for (std::size_t i = 0; i < regions.size(); ++i)
+    share_by_region[regions[i]] = shares[i];
+  for (Upstream& upstream : service.m_upstreams) {
+    // A region without a share still comes last in the order, in case no other
+    // region can take the request.
+    const double share =
+        std::max(share_by_region[upstream.m_region], kMinRegionShare);
+    const double weight = weight_by_region[upstream.m_region];
+    if (weight > 0)
+      upstream.m_object_weight *= share / weight;
+  }
+}
+
 bool IsNameLess(const ServiceUpstreams& service, const ServiceId& name) {
   return service.m_service.m_name < name;
 }
@@ -147,8 +198,13 @@
     service->m_upstreams.push_back(MakeUpstream(
         inputs, service->m_service, member, zone->m_region, counters));
   }
-  for (ServiceUpstreams& service : view.m_services)
+  for (ServiceUpstreams& service : view.m_services) {
     SetObjectWeights(service);
+    if (!inputs.m_entry_hosts_by_zone)
+      continue;
+    SetPlannedObjectWeights(inputs, service);
+    service.m_work = counters.GetOrCreateEstimator(service.m_service.m_name);
+  }
   return view;
 }
 
--- a/src/steering/upstream_view.h
+++ b/src/steering/upstream_view.h
@@ -52,6 +52,11 @@
   // Maximum requests at an instance, as a multiple of its slots, if there are
   // no grants.
   std::uint32_t m_queue_factor = 1;
+  // Plan for the objects of this host's region (region_shares.h): the entry
+  // hosts in each availability zone. Empty: objects are distributed by
+  // ObjectWeight and upstreams are not selected by cost.
+  std::optional<std::map<AvailabilityZoneId, std::uint32_t>>
+      m_entry_hosts_by_zone = {};
   // Burst of the retry budget of each service on this host.
   std::uint32_t m_retry_burst = RetryBudget::kDefaultBurst;
 
