--- a/bench/steering_bench.cc
+++ b/bench/steering_bench.cc
@@ -153,6 +153,54 @@
         selector.Select(view.m_services[0], {.m_now = now}));
 }
 
+// The same for requests with objects, with reports and estimates as in
+// operation. The pair for AffinityPolicy and CostPolicy shows what the choice
+// by cost adds.
+template <class P>
+void SelectForObject(benchmark::State& state) {
+  steering::CounterTable counters;
+  Deployment deployment{.m_services = {{.m_name = {"s"}}}};
+  deployment.m_availability_zones = {{{"z"}, {"r"}}};
+  membership::RegistrySnapshot registry;
+  const MonoTime now = MonoTime(std::chrono::hours(1));
+  for (int i = 0; i < state.range(0); ++i) {
+    registry.m_members.push_back(
+        {.m_announcement = {.m_service = {"s"},
+                            .m_instance = {std::to_string(i)},
+                            .m_incarnation = 1,
+                            .m_state = UpstreamState::kServing,
+                            .m_availability_zone = {"z"},
+                            .m_slots = 9},
+         .m_expires = now + std::chrono::seconds(2)});
+  }
+  const steering::UpstreamView view = steering::BuildView(
+      {.m_registry = registry,
+       .m_deployment = deployment,
+       .m_drains = {},
+       .m_zone = {"z"},
+       .m_queue_factor = 2,
+       .m_entry_hosts_by_zone = std::map<AvailabilityZoneId, std::uint32_t>(),
+       .m_grants = {}},
+      counters);
+  const steering::ServiceUpstreams& service = view.m_services[0];
+  for (const steering::Upstream& upstream : service.m_upstreams) {
+    // A queue of a third of the slots, so that strangers are compared too.
+    upstream.m_counters->RecordReport(
+        {.m_in_progress = 12, .m_waiting = 3, .m_slots = 9}, now);
+    service.m_work->RecordLoad(upstream.m_counters->Load(), 0, 9);
+  }
+  steering::Selector<P> selector(1);
+  std::uint64_t object = 1;
+  for ([[maybe_unused]] auto unused : state) {
+    benchmark::DoNotOptimize(
+        selector.Select(service, {.m_now = now,
+                                  .m_object = object++,
+                                  .m_remaining = std::chrono::seconds(6)}));
+  }
+}
+
+BENCHMARK(SelectForObject<steering::AffinityPolicy>)->Arg(228);
+BENCHMARK(SelectForObject<steering::CostPolicy>)->Arg(228);
 BENCHMARK(SelectAndReturn<steering::RandomPolicy>)->Arg(18);
 BENCHMARK(SelectAndReturn<steering::HeadroomLatencyPolicy>)->Arg(18);
 
