--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -34,6 +34,10 @@
 constexpr std::size_t kControlThreadIndex = 0;
 constexpr std::size_t kFirstWorkerIndex = 1;
 
+// Bounds what the bodies of many callers put on a narrow link at once. A caller
+// with a round trip of 16 ms can still send 8 Mbit/s.
+constexpr int kNarrowLinkReceiveBytes = 16384;
+
 ServingView EmptyView() {
   return {.m_lookup = std::make_shared<const lookup::Table>(),
           .m_upstreams = std::make_shared<const steering::UpstreamView>(),
@@ -129,9 +133,13 @@
   options.m_max_overlapping = m_shared.m_settings.m_max_pipelined;
   if (m_front_end.m_may_overlap) {
     options.m_may_overlap = [this](const RequestHead& head) {
-      return m_front_end.m_may_overlap(m_shared, head);
+      return m_shared.m_controls_overload.load(std::memory_order_relaxed) &&
+             m_front_end.m_may_overlap(m_shared, head);
     };
   }
+  options.m_receive_buffer_bytes = [this] {
+    return m_shared.m_link.HasRate() ? kNarrowLinkReceiveBytes : 0;
+  };
   return options;
 }
 
--- a/src/entry/entry_shared.cc
+++ b/src/entry/entry_shared.cc
@@ -25,6 +25,7 @@
       m_may_have_run(observe::CounterOf(Metric::kRequests,
                                         VerdictText(Verdict::kMayHaveRun))),
       m_in_progress_gauge(observe::GaugeOf(Metric::kInProgress)) {
+  m_link.SetActive(false);
   m_body_bytes->Adopt({.m_safe = m_settings.m_body_bytes});
 }
 
--- a/src/entry/entry_shared.h
+++ b/src/entry/entry_shared.h
@@ -42,6 +42,8 @@
   std::atomic<MonoTime> m_config_confirmed_at{MonoTime{}};
   // End of the lease for requests with keys (tenants/key_lease.h).
   std::atomic<MonoTime> m_key_lease_end{MonoTime{}};
+  // The document in force has overload control.
+  std::atomic<bool> m_controls_overload = false;
   std::atomic<std::uint32_t> m_in_progress = 0;  // requests on this host
   // Usable slots of all services. Not part of the view, because ejections and
   // pauses of instances end without a new view.
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -24,6 +24,7 @@
 #include "entry/dialect.h"
 #include "entry/entry_shared.h"
 #include "entry/refusal.h"
+#include "entry/request_cost.h"
 #include "entry/request_metrics.h"
 #include "entry/room_keeper.h"
 #include "entry/route.h"
@@ -42,7 +43,8 @@
   Forwarder(EntryShared& shared,
             ClaimClient& claims,
             const boost::asio::any_io_executor& executor,
-            std::uint64_t seed);
+            std::uint64_t seed,
+            bool controls_overload);
 
   boost::asio::awaitable<void> Handle(net::HttpExchange& exchange);
 
@@ -153,12 +155,14 @@
 
   EntryShared& m_shared;
   ClaimClient& m_claims;
+  const bool m_controls_overload;  // the settings for overload apply
   ConnectionPool m_pool;
   BodyShare m_body_share;
   AttemptWatch m_watch;
   RoomKeeper m_rooms;
   Tracer m_tracer;
   RequestMetrics m_metrics;
+  RequestCost m_cost;
   std::size_t m_next_demand_position = 0;
   steering::FastRandom m_random;
   steering::Selector<P> m_selector;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -150,6 +150,8 @@
   Weights m_weights;  // selection weights of the deployment
   RegionId m_region;  // region of this host
   std::shared_ptr<steering::RetryBudget> m_retry_budget;
+  // Null if upstreams are not selected by cost.
+  std::shared_ptr<steering::WorkEstimator> m_work;
   request::Deadline m_deadline;
   MonoTime m_received_at;
   bool m_is_repeatable = true;
@@ -188,12 +190,14 @@
 Forwarder<D, P>::Forwarder(EntryShared& shared,
                            ClaimClient& claims,
                            const asio::any_io_executor& executor,
-                           std::uint64_t seed)
+                           std::uint64_t seed,
+                           bool controls_overload)
     : m_shared(shared),
       m_claims(claims),
+      m_controls_overload(controls_overload),
       m_pool(executor,
              shared.m_settings.m_pool_per_instance,
-             shared.m_settings.m_reuses_connections),
+             controls_overload && shared.m_settings.m_reuses_connections),
       m_watch(executor),
       m_rooms(executor),
       m_tracer(shared.m_spans, shared.m_settings.m_trace, seed),
@@ -424,6 +428,7 @@
       m_shared.m_settings.m_retry_budget_permille.value_or(
           request.m_service.m_retry_budget_permille);
   request.m_retry_budget = service->m_budget;
+  request.m_work = service->m_work;
   request.m_weights = view.m_upstreams->m_weights;
   request.m_region = view.m_region;
   request.m_is_repeatable = request.m_route.m_is_repeatable.value_or(
@@ -449,7 +454,7 @@
     m_metrics.CountRefusal(RefusalCause::kBadKey);
     return bad_key;
   }
-  if (m_shared.m_settings.m_waits_for_room)
+  if (m_controls_overload && m_shared.m_settings.m_waits_for_room)
     PrepareRoom(exchange, *service, view.m_entry_hosts, request);
   const steering::AdmissionAnswer answer = steering::DecideAdmission(
       {.m_is_host_draining = view.m_is_refusing_requests,
@@ -778,7 +783,9 @@
                    .m_tried = excluded,
                    .m_closed = full_regions,
                    .m_allowed = request.m_route.m_allowed_regions,
-                   .m_object = request.m_route.m_affinity_hash});
+                   .m_object = request.m_route.m_affinity_hash,
+                   .m_route = RouteHash(request.m_route),
+                   .m_remaining = request::Remaining(request.m_deadline, now)});
     if (!selection) {
       RecordUnmetDemand(view, *service);
       return std::nullopt;
@@ -863,6 +870,10 @@
       forwarder_internal::OutcomeOf(result);
   if (outcome)
     selection.m_slot.Counters()->Record(*outcome, ended - started, ended);
+  if (request.m_work != nullptr) {
+    m_cost.Record(request.m_route, selection, result, started, ended,
+                  *request.m_work);
+  }
   co_return result;
 }
 
@@ -870,7 +881,7 @@
 void Forwarder<D, P>::CheckUpstreamLoad(const Request& request,
                                         const steering::Selection& selection,
                                         AttemptResult& result) const {
-  if (!m_shared.m_settings.m_reuses_connections)
+  if (!m_controls_overload)
     return;
   const steering::Observation observation =
       selection.m_slot.Counters()->Observe();
@@ -893,7 +904,7 @@
     if (found != service->m_upstreams.end())
       load.m_slots = found->m_member.m_announcement.m_slots;
   }
-  result.m_is_upstream_full = m_shared.m_link.HasRate() && IsUpstreamFull(load);
+  result.m_is_upstream_full = IsUpstreamFull(load);
   const auto age_ms =
       std::chrono::duration_cast<milliseconds>(load.m_report_age).count();
   result.m_error +=
@@ -1003,7 +1014,10 @@
     m_metrics.CountRefusal(RefusalCause::kNoSlot);
   const Refusal refusal{.m_status = 503,
                         .m_verdict = request.m_verdict,
-                        .m_reason = "no instance has a free slot",
+                        .m_reason = m_selector.IsExpectedLate()
+                                        ? "the response would come after the "
+                                          "deadline"
+                                        : "no instance has a free slot",
                         .m_retry_after = std::chrono::seconds(1)};
   co_await Refuse(exchange, &request, refusal);
 }
--- a/src/entry/forwarder_room_impl.h
+++ b/src/entry/forwarder_room_impl.h
@@ -85,10 +85,10 @@
       const rcu::ReadSection section;
       return m_shared.m_view.Read(section).m_is_refusing_requests;
     };
-    outcome = co_await m_rooms.Wait(exchange, *request.m_room_state,
-                                    request.m_room_request,
-                                    !request.m_outgoing.m_is_body_streamed,
-                                    is_stopping, &request.m_room_ticket);
+    outcome = co_await m_rooms.Wait(
+        exchange, *request.m_room_state, request.m_room_request,
+        request.m_outgoing.m_body_mode == BodyMode::kBuffered, is_stopping,
+        &request.m_room_ticket);
     step.SetAttribute("outcome", std::string(WaitOutcomeText(outcome)));
     step.End();
     LogWait(request, MonoClock::now() - asked_at, outcome);
--- a/src/entry/front_end.cc
+++ b/src/entry/front_end.cc
@@ -5,13 +5,15 @@
 #include "entry/forwarder_impl.h"
 #include "entry/lookup_handler.h"
 #include "entry/native_dialect.h"
+#include "entry/request_handler.h"
 #include "steering/headroom_latency_policy.h"
 
 namespace jujube::entry {
 namespace {
 
-using NativeForwarder =
-    Forwarder<NativeDialect, steering::HeadroomLatencyPolicy>;
+using NativeRequestHandler = RequestHandler<NativeDialect,
+                                            steering::HeadroomLatencyPolicy,
+                                            steering::HeadroomLatencyPolicy>;
 
 // Handlers of one worker thread.
 struct NativeHandler {
@@ -19,10 +21,9 @@
                 ClaimClient& claims,
                 boost::asio::io_context& io,
                 std::uint64_t seed)
-      : m_forwarder(shared, claims, io.get_executor(), seed),
-        m_lookups(shared) {}
+      : m_requests(shared, claims, io, seed), m_lookups(shared) {}
 
-  NativeForwarder m_forwarder;
+  NativeRequestHandler m_requests;
   LookupHandler m_lookups;
 };
 
@@ -36,7 +37,7 @@
     return [handler](net::HttpExchange& exchange) {
       return LookupHandler::Matches(exchange.Head())
                  ? handler->m_lookups.Handle(exchange)
-                 : handler->m_forwarder.Handle(exchange);
+                 : handler->m_requests.Handle(exchange);
     };
   }};
 }
--- a/src/gen/deployment.h
+++ b/src/gen/deployment.h
@@ -264,6 +264,11 @@
                   // them, unless its route allows anonymous callers (at most
                   // 20000 elements)
   RequestLimits m_request_limits;  // limits on requests
+  bool m_overload_control =
+      false;  // callers may ask for more than upstreams and links can carry, or
+              // send large bodies: entry hosts apply the settings link_kbit_s,
+              // reuses_connections, max_pipelined, selects_by_cost and
+              // waits_for_room
   bool m_discovers_entry_hosts =
       false;  // entry hosts announce themselves to the control hosts;
               // entry_hosts may be empty
--- a/src/gen/deployment_json.cc
+++ b/src/gen/deployment_json.cc
@@ -396,6 +396,8 @@
               value.m_tenants);
   reader.Read("request_limits", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_request_limits);
+  reader.Read("overload_control", Presence::kOptional,
+              {std::nullopt, std::nullopt}, value.m_overload_control);
   reader.Read("discovers_entry_hosts", Presence::kOptional,
               {std::nullopt, std::nullopt}, value.m_discovers_entry_hosts);
   reader.Read("source", Presence::kOptional, {std::nullopt, 4194304},
@@ -421,6 +423,7 @@
   PutJson(object, "routes", value.m_routes);
   PutJson(object, "tenants", value.m_tenants);
   PutJson(object, "request_limits", value.m_request_limits);
+  PutJson(object, "overload_control", value.m_overload_control);
   PutJson(object, "discovers_entry_hosts", value.m_discovers_entry_hosts);
   PutJson(object, "source", value.m_source);
   PutJson(object, "blocks", value.m_blocks);
--- a/src/gen/deployment_serialize.h
+++ b/src/gen/deployment_serialize.h
@@ -112,7 +112,8 @@
           wire::Bounded(value.m_services, 1024),
           wire::Bounded(value.m_routes, 100000),
           wire::Bounded(value.m_tenants, 20000), value.m_request_limits,
-          value.m_discovers_entry_hosts, wire::Bounded(value.m_source, 4194304),
+          value.m_overload_control, value.m_discovers_entry_hosts,
+          wire::Bounded(value.m_source, 4194304),
           wire::Bounded(value.m_blocks, 500000));
 }
 
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -105,23 +105,27 @@
       m_retry_budget_permille;  // retry budget: retries allowed per thousand
                                 // requests; overrides the value of the document
   std::optional<std::uint64_t>
-      m_link_kbit_s;  // rate of the link of this host in each direction; bodies
-                      // are then passed on in turn, so that small requests do
-                      // not wait behind large ones (from 1)
+      m_link_kbit_s;  // under a document with overload_control, rate of the
+                      // link of this host in each direction; bodies are then
+                      // passed on in turn, so that small requests do not wait
+                      // behind large ones (from 1)
   bool m_reuses_connections =
-      false;  // requests that run at most once may use idle connections to
-              // upstreams, if these were used a moment ago
+      false;  // under a document with overload_control, requests that run at
+              // most once may use idle connections to upstreams, if these were
+              // used a moment ago
   std::uint16_t m_max_pipelined =
-      1;  // requests of a connection that are handled at the same time, if the
-          // caller sends them without waiting for the responses; only requests
-          // that may run more than once (from 1, at most 64)
+      1;  // under a document with overload_control, requests of a connection
+          // that are handled at the same time, if the caller sends them without
+          // waiting for the responses; only requests that may run more than
+          // once (from 1, at most 64)
   bool m_waits_for_room =
-      false;  // a request may wait at this host for room at an upstream, in the
-              // order of its priority; otherwise it is refused or queued at the
-              // upstream
+      false;  // under a document with overload_control, a request may wait at
+              // this host for room at an upstream, in the order of its
+              // priority; otherwise it is refused or queued at the upstream
   bool m_selects_by_cost =
-      false;  // upstreams are selected by the expected work of a request and
-              // the work that is left at each of them
+      false;  // under a document with overload_control, upstreams are selected
+              // by the expected work of a request and the work that is left at
+              // each of them
   std::optional<std::chrono::milliseconds>
       m_key_lease;  // with `discovers_control`, time after which a request with
                     // a key is refused if the control hosts have not confirmed
--- a/src/limits/host_link.h
+++ b/src/limits/host_link.h
@@ -43,7 +43,13 @@
   HostLink(const HostLink&) = delete;
   HostLink& operator=(const HostLink&) = delete;
 
-  bool HasRate() const { return m_kbit_s > 0; }
+  // An inactive link has no rate. Active at first.
+  void SetActive(bool is_active) {
+    m_is_active.store(is_active, std::memory_order_relaxed);
+  }
+  bool HasRate() const {
+    return m_kbit_s > 0 && m_is_active.load(std::memory_order_relaxed);
+  }
 
   // Chunk of a large body, in bytes.
   std::size_t ChunkBytes() const;
@@ -81,6 +87,7 @@
   std::int64_t TransmitTimeNs(std::uint64_t bytes) const;
 
   const std::uint64_t m_kbit_s;  // 0: not limited
+  std::atomic<bool> m_is_active = true;
   std::array<Side, 2> m_sides;
 };
 
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -390,6 +390,7 @@
   State(asio::io_context& io, HttpHandler handler, HttpListenerOptions options)
       : m_acceptor(io), m_handler(std::move(handler)), m_options(options) {}
 
+  void LimitReceiveBuffer();
   asio::awaitable<void> AcceptLoop();
   asio::awaitable<void> ServeConnection(tcp::socket socket);
   // Reads a request head and handles the request, or starts to. Returns false
@@ -408,12 +409,27 @@
   std::set<beast::tcp_stream*> m_idle_streams;
   std::atomic<std::size_t> m_open_connections = 0;
   std::atomic<bool> m_announce_close = false;
+  int m_receive_buffer_bytes = 0;  // as set last
   bool m_closed = false;
 };
 
+// Accepted connections inherit the size; set later, it would not limit the
+// window that is announced with the handshake.
+void HttpListener::State::LimitReceiveBuffer() {
+  const int bytes =
+      m_options.m_receive_buffer_bytes ? m_options.m_receive_buffer_bytes() : 0;
+  if (bytes == 0 || bytes == m_receive_buffer_bytes)
+    return;
+  beast::error_code error;
+  m_acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), error);
+  if (!error)
+    m_receive_buffer_bytes = bytes;
+}
+
 asio::awaitable<void> HttpListener::State::AcceptLoop() {
   const auto self = shared_from_this();
   while (!m_closed) {
+    LimitReceiveBuffer();
     auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
     if (error == asio::error::operation_aborted || m_closed)
       co_return;
@@ -595,13 +611,6 @@
     acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error)
     acceptor.set_option(ReusePort(true), error);
-  // Accepted connections inherit it; set later, it would not limit the window
-  // that is announced with the handshake.
-  const int receive_bytes = m_state->m_options.m_receive_buffer_bytes;
-  if (!error && receive_bytes > 0) {
-    acceptor.set_option(asio::socket_base::receive_buffer_size(receive_bytes),
-                        error);
-  }
   if (!error)
     acceptor.bind(local, error);
   if (!error)
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -148,6 +148,7 @@
                                   .m_retry_budget_permille = 1000,
                                   .m_slow_start = milliseconds(0)}},
                   .m_blocks = {{"127.0.0.0/8", {"site-a"}}}};
+  m_deployment.m_overload_control = true;
   for (const EntrySettings& entry : m_entry_settings) {
     m_deployment.m_entry_hosts.push_back(
         {.m_name = entry.m_host,
