Hide keys in problems of the JSON parser

A document with a key in the place of the list of keys, a number among them or an overlong one was refused with a problem that shows the value, which is printed and logged.

Fields that the schema marks as secret are read with ObjectReader::ReadSecret, whose problems name the path and the allowed values only.

--- a/src/core/json_reader_impl.h
+++ b/src/core/json_reader_impl.h
@@ -214,6 +214,18 @@
       ParseValue(*json, JsonPath(m_path, key), m_problems, range, value);
   }
 
+  // As Read, but problems do not show the value, since they are logged.
+  template <class T>
+  void ReadSecret(std::string_view key,
+                  Presence presence,
+                  const Range& range,
+                  T& value) {
+    const std::size_t first_problem = m_problems.size();
+    Read(key, presence, range, value);
+    for (std::size_t i = first_problem; i < m_problems.size(); ++i)
+      m_problems[i].m_found = "a value that is not shown";
+  }
+
   void RejectUnknownKeys();
 
  private:
--- a/src/gen/deployment_json.cc
+++ b/src/gen/deployment_json.cc
@@ -242,7 +242,8 @@
   ObjectReader reader(json, path, problems);
   reader.Read("name", Presence::kRequired, {std::nullopt, std::nullopt},
               value.m_name);
-  reader.Read("keys", Presence::kOptional, {std::nullopt, 1024}, value.m_keys);
+  reader.ReadSecret("keys", Presence::kOptional, {std::nullopt, 1024},
+                    value.m_keys);
   reader.Read("priority", Presence::kOptional, {0, 9}, value.m_priority);
   reader.Read("requests_per_1000s", Presence::kOptional,
               {std::nullopt, 1000000000000}, value.m_requests_per_1000s);
--- a/tools/codegen/cpp_json.py
+++ b/tools/codegen/cpp_json.py
@@ -30,7 +30,8 @@
     out.append("  ObjectReader reader(json, path, problems);")
     for field in t.fields:
         presence = "Presence::kRequired" if field.required else "Presence::kOptional"
-        out.append(f'  reader.Read("{field.json_key}", {presence}, {_bounds(field)}, '
+        read = "ReadSecret" if field.secret else "Read"
+        out.append(f'  reader.{read}("{field.json_key}", {presence}, {_bounds(field)}, '
                    f"value.{field.member});")
     out.append("  reader.RejectUnknownKeys();")
     out.append("}\n")
--- a/tools/codegen/model.py
+++ b/tools/codegen/model.py
@@ -38,6 +38,7 @@
     default: object
     minimum: object
     maximum: object
+    secret: bool  # problems of the JSON parser do not show the value
 
     @property
     def json_key(self):
@@ -75,14 +76,16 @@
 
 def _parse_field(raw, where):
     for key in raw:
-        if key not in ("name", "type", "doc", "required", "default", "min", "max"):
+        if key not in ("name", "type", "doc", "required", "default", "min", "max",
+                       "secret"):
             raise SchemaError(f"{where}: unknown key '{key}'")
     match = CONTAINER.match(raw["type"])
     container, element = match.groups() if match else ("", raw["type"])
     if "doc" not in raw:
         raise SchemaError(f"{where}.{raw['name']}: key 'doc' is missing")
     return Field(raw["name"], container, element, raw["doc"], raw.get("required", False),
-                 raw.get("default"), raw.get("min"), raw.get("max"))
+                 raw.get("default"), raw.get("min"), raw.get("max"),
+                 raw.get("secret", False))
 
 
 def _parse_type(raw, file_name):
