Check the limits of the schema for tenants of translated documents

A document that was translated from another format has not been parsed with the limits of the schema. One with 1,025 keys of a tenant, 20,001 tenants, 65 regions or a name of 131 bytes passed the check and could not be encoded or decoded: the operator got no answer. 100,000 keys of 256 bytes exceeded an entry of the log, and 10^6 faulty keys gave as many problems.

CheckTenants reports each excess with the entry, and does not check single keys beyond 100,000. Differences of 20,000 tenants are found in one pass instead of a search for each.

ConfigCheck.InvalidTenantsAreReported, ListsOfTenantsAreBounded and AMillionKeysAreRefused failed before and pass.

--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "config/prefix.h"
+#include "core/name_limit.h"
 #include "tenants/credential.h"
 
 namespace jujube::config {
@@ -16,8 +17,16 @@
 constexpr std::size_t kMaxMethodBytes = 32;
 
 // Bounds the size of a document, which is sent whole to each entry host, and
-// the memory of its keys there.
+// the memory of its keys there. With both, a document fits into an entry of the
+// replicated log (16 MiB).
 constexpr std::size_t kMaxKeys = 100000;
+constexpr std::size_t kMaxKeyBytesOfAll = 8U << 20U;
+
+// Limits of Tenant and Deployment in the schema. A document that another format
+// was translated to has not been parsed with them.
+constexpr std::size_t kMaxTenants = 20000;
+constexpr std::size_t kMaxKeysOfTenant = 1024;
+constexpr std::size_t kMaxRegionsOfTenant = 64;
 
 std::string Quoted(std::string_view text) {
   return "\"" + std::string(text) + "\"";
@@ -226,39 +235,75 @@
     }
   }
 
-  // Problems never contain a key, because they are logged and printed.
   void CheckTenants() {
     const JsonPath list_path(m_root, "tenants");
+    ReportExcess(list_path, m_deployment.m_tenants.size(), kMaxTenants,
+                 "tenants");
     Names names;
+    std::size_t key_count = 0;
+    std::size_t key_bytes = 0;
+    for (std::size_t i = 0; i < m_deployment.m_tenants.size(); ++i) {
+      const Tenant& tenant = m_deployment.m_tenants[i];
+      CheckTenant(JsonPath(list_path, i), tenant, names);
+      key_count += tenant.m_keys.size();
+      for (const std::string& key : tenant.m_keys)
+        key_bytes += key.size();
+    }
+    ReportExcess(list_path, key_count, kMaxKeys, "keys");
+    ReportExcess(list_path, key_bytes, kMaxKeyBytesOfAll, "bytes of keys");
+    // Bounds the memory for the problems of faulty keys.
+    if (key_count <= kMaxKeys)
+      CheckKeys(list_path);
+  }
+
+  void CheckTenant(const JsonPath& path, const Tenant& tenant, Names& names) {
+    const std::string& name = tenant.m_name.m_value;
+    AddUniqueName(path, name, names);
+    if (!tenants::IsValidKey(name) || name.size() > kMaxNameBytes) {
+      Report(JsonPath(path, "name"), Quoted(name),
+             "1 to " + std::to_string(kMaxNameBytes) +
+                 " visible ASCII characters");
+    }
+    ReportExcess(JsonPath(path, "keys"), tenant.m_keys.size(), kMaxKeysOfTenant,
+                 "keys of tenant " + Quoted(name));
+    ReportExcess(JsonPath(path, "allowed_regions"),
+                 tenant.m_allowed_regions.size(), kMaxRegionsOfTenant,
+                 "regions");
+    CheckAllowedRegions(path, tenant.m_allowed_regions);
+  }
+
+  // Problems never contain a key, because they are logged and printed.
+  void CheckKeys(const JsonPath& list_path) {
     std::set<std::string_view> keys;
     for (std::size_t i = 0; i < m_deployment.m_tenants.size(); ++i) {
       const Tenant& tenant = m_deployment.m_tenants[i];
+      const std::string of_tenant =
+          " of tenant " + Quoted(tenant.m_name.m_value);
       const JsonPath path(list_path, i);
-      const std::string& name = tenant.m_name.m_value;
-      AddUniqueName(path, name, names);
-      if (!tenants::IsValidKey(name)) {
-        Report(JsonPath(path, "name"), Quoted(name),
-               "1 to 256 visible ASCII characters");
-      }
       const JsonPath keys_path(path, "keys");
       for (std::size_t j = 0; j < tenant.m_keys.size(); ++j) {
         const std::string& key = tenant.m_keys[j];
         if (!tenants::IsValidKey(key)) {
-          Report(JsonPath(keys_path, j),
-                 "a key of " + std::to_string(key.size()) +
-                     " bytes of tenant " + Quoted(name),
-                 "1 to 256 visible ASCII characters");
+          Report(
+              JsonPath(keys_path, j),
+              "a key of " + std::to_string(key.size()) + " bytes" + of_tenant,
+              "1 to 256 visible ASCII characters");
         } else if (!keys.insert(key).second) {
           Report(JsonPath(keys_path, j),
-                 "a key of tenant " + Quoted(name) + " more than once",
+                 "a key" + of_tenant + " more than once",
                  "a key of one tenant");
         }
       }
-      CheckAllowedRegions(path, tenant.m_allowed_regions);
     }
-    if (keys.size() > kMaxKeys) {
-      Report(list_path, std::to_string(keys.size()) + " keys",
-             "at most " + std::to_string(kMaxKeys) + " keys of all tenants");
+  }
+
+  void ReportExcess(const JsonPath& path,
+                    std::size_t count,
+                    std::size_t max,
+                    const std::string& what) {
+    if (count > max) {
+      Report(path, std::to_string(count) + " " + what,
+             "at most " + std::to_string(max) + " " + what);
     }
   }
 
--- a/src/config/difference.cc
+++ b/src/config/difference.cc
@@ -105,12 +105,12 @@
   void CompareTenants(const std::vector<Tenant>& from,
                       const std::vector<Tenant>& to) {
     CompareList("tenant", WithoutKeys(from), WithoutKeys(to));
+    // The tenants of a canonical document are sorted by name.
+    auto old_tenant = from.begin();
     for (const Tenant& tenant : to) {
-      const auto old_tenant =
-          std::find_if(from.begin(), from.end(), [&](const Tenant& candidate) {
-            return candidate.m_name == tenant.m_name;
-          });
-      if (old_tenant == from.end())
+      while (old_tenant != from.end() && old_tenant->m_name < tenant.m_name)
+        ++old_tenant;
+      if (old_tenant == from.end() || old_tenant->m_name != tenant.m_name)
         continue;
       const std::size_t kept = CountCommon(old_tenant->m_keys, tenant.m_keys);
       const std::size_t added = tenant.m_keys.size() - kept;
