--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -1,4 +1,7 @@
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/json.hpp>
@@ -6,6 +9,7 @@
 #include "config/check.h"
 #include "core/json_document.h"
 #include "gen/deployment_json.h"
+#include "gen/deployment_wire.h"
 #include "net/http_fields.h"
 #include "platform/announcement.h"
 #include "platform/document.h"
@@ -179,6 +183,198 @@
   EXPECT_NE(parsed.error().m_message.find("sometimes"), std::string::npos);
 }
 
+// A document with every field of the pages in force (tenants, each kind of
+// route) in the words of deploy/wire.toml.
+constexpr const char* kTenantDocument = R"({"version":9,"routes":[
+  {"name":"r-1","host":"jepu9.example","path_prefix":"/puka111/",
+   "kind":"upload","timeout_s":12,"target_latency_s":3,"priority":1,
+   "service":"wuno96b","max_attempts":2,"has_affinity":false,
+   "allowed_regions":["luzon"],"weighted_services":null,
+   "allow_anonymous":true}],
+  "services":[{"name":"wuno96b","health_path":"/health","max_connections":1770,
+               "protocol":"h1","tls":false,"warmup_s":3.0,"cold_per_s":2.9}],
+  "tenants":[
+  {"name":"ferry","api_keys":["k-1","k-2"],"priority":2,"rate_per_s":12.5,
+   "burst":40,"allowed_regions":["luzon","visayas"]},
+  {"name":"island","api_keys":["k-3"],"priority":null,"rate_per_s":0,
+   "burst":0,"allowed_regions":[]}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+            "header_timeout_s":3,"idle_timeout_s":15}})";
+
+// Guards against a translation that drops the keys, the quota or the regions of
+// a tenant.
+TEST(OperatorDocument, TenantsAreTranslated) {
+  const Result<Deployment> parsed =
+      ParseOperatorDocument(kTenantDocument, MakeRegionByZone());
+  ASSERT_TRUE(parsed) << parsed.error().m_message;
+  const Deployment& document = parsed.value();
+  EXPECT_EQ(config::CheckDeployment(document), Problems());
+  EXPECT_EQ(document.m_routes[0].m_kind, RequestKind::kUpload);
+  EXPECT_TRUE(document.m_routes[0].m_allows_anonymous);
+  ASSERT_EQ(document.m_tenants.size(), 2U);
+  EXPECT_EQ(document.m_tenants[0],
+            (Tenant{.m_name = {"ferry"},
+                    .m_keys = {"k-1", "k-2"},
+                    .m_priority = 7,
+                    .m_requests_per_1000s = 12500,
+                    .m_burst = 40,
+                    .m_allowed_regions = {{"luzon"}, {"visayas"}}}));
+  EXPECT_EQ(document.m_tenants[1],
+            (Tenant{.m_name = {"island"}, .m_keys = {"k-3"}}));
+  const Result<Deployment> without_tenants =
+      ParseOperatorDocument(kDocument, MakeRegionByZone());
+  ASSERT_TRUE(without_tenants);
+  EXPECT_TRUE(without_tenants.value().m_tenants.empty());
+  EXPECT_FALSE(without_tenants.value().m_routes[0].m_allows_anonymous);
+}
+
+// Guards against turning a whole valid document away because of one word or
+// field of the pages in force, which leaves a system without any configuration.
+// Each row replaces one part of the document above.
+TEST(OperatorDocument, EachWordAndFieldOfThePagesIsTaken) {
+  const std::string document = kTenantDocument;
+  const std::string kind = "\"kind\":\"upload\"";
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {kind, "\"kind\":\"repeatable\""},
+           {kind, "\"kind\":\"at_most_once\""},
+           {kind, "\"kind\":\"download\""},
+           {"\"allow_anonymous\":true", "\"allow_anonymous\":false"},
+           {"\"allow_anonymous\":true", "\"allow_anonymous\":null"},
+           {",\n   \"allow_anonymous\":true", ""},
+           {"\"has_affinity\":false", "\"has_affinity\":true"},
+           {"\"allowed_regions\":[\"luzon\"],\"weighted",
+            "\"allowed_regions\":null,\"weighted"},
+           {"\"service\":\"wuno96b\"", "\"service\":null"},
+           {"\"protocol\":\"h1\"", "\"protocol\":\"h2\""},
+           {"\"tls\":false", "\"tls\":true"},
+           {"\"health_path\":\"/health\"", "\"health_path\":null"},
+           {"\"warmup_s\":3.0", "\"warmup_s\":null"},
+           {"\"api_keys\":[\"k-3\"]", "\"api_keys\":[]"},
+           {"\"api_keys\":[\"k-3\"]", "\"api_keys\":null"},
+           {"\"api_keys\":[\"k-3\"],", ""},
+           {"\"priority\":2", "\"priority\":0"},
+           {"\"priority\":2", "\"priority\":1000"},
+           {"\"priority\":null,", ""},
+           {"\"rate_per_s\":12.5", "\"rate_per_s\":null"},
+           {"\"rate_per_s\":12.5,", ""},
+           {"\"rate_per_s\":12.5", "\"rate_per_s\":0.0001"},
+           {"\"rate_per_s\":12.5", "\"rate_per_s\":1e300"},
+           {"\"burst\":40", "\"burst\":null"},
+           {"\"burst\":40,", ""},
+           {"\"burst\":40", "\"burst\":2.5"},
+           {"\"burst\":40", "\"burst\":1e300"},
+           {"\"allowed_regions\":[\"luzon\",\"visayas\"]",
+            "\"allowed_regions\":null"},
+           {"\"allowed_regions\":[]}", "\"later_field\":{\"a\":[1]}}"},
+           {"\"name\":\"island\"", "\"name\":\"Island_&_Co.\""},
+           {"\"tenants\":[", "\"later_table\":[{}],\"tenants\":["}}) {
+    std::string text = Replaced(document, from, to);
+    if (to == "\"service\":null") {
+      text = Replaced(
+          text, "\"weighted_services\":null",
+          "\"weighted_services\":[{\"service\":\"wuno96b\",\"weight\":1}]");
+    }
+    const Result<Deployment> parsed =
+        ParseOperatorDocument(text, MakeRegionByZone());
+    ASSERT_TRUE(parsed) << from << " -> " << to << ": "
+                        << parsed.error().m_message;
+    EXPECT_EQ(config::CheckDeployment(parsed.value()), Problems())
+        << from << " -> " << to;
+    const Result<Deployment> decoded = DecodeDeployment(Encode(parsed.value()));
+    ASSERT_TRUE(decoded) << from << " -> " << to;
+    EXPECT_EQ(decoded.value(), parsed.value()) << from << " -> " << to;
+  }
+  for (const std::string tenants : {"[]", "null"}) {
+    const std::size_t begin = document.find("\"tenants\":[");
+    const std::size_t end = document.find("\"limits\"");
+    const std::string text = document.substr(0, begin) +
+                             "\"tenants\":" + tenants + "," +
+                             document.substr(end);
+    const Result<Deployment> parsed =
+        ParseOperatorDocument(text, MakeRegionByZone());
+    ASSERT_TRUE(parsed) << tenants;
+    EXPECT_TRUE(parsed.value().m_tenants.empty());
+  }
+}
+
+// Guards against a small quota that becomes none (0 stands for no limit), and
+// against a huge one that overflows.
+TEST(OperatorDocument, QuotasKeepTheirMeaning) {
+  const auto first_tenant = [](const std::string& from, const std::string& to) {
+    return ParseOperatorDocument(Replaced(kTenantDocument, from, to),
+                                 MakeRegionByZone())
+        .value()
+        .m_tenants[0];
+  };
+  const auto rate = [&](const std::string& value) {
+    return first_tenant("\"rate_per_s\":12.5", "\"rate_per_s\":" + value)
+        .m_requests_per_1000s;
+  };
+  EXPECT_EQ(rate("0"), 0U);
+  EXPECT_EQ(rate("1e-9"), 1U);
+  EXPECT_EQ(rate("0.5"), 500U);
+  EXPECT_EQ(rate("1e300"), 1'000'000'000'000U);
+  EXPECT_EQ(first_tenant("\"burst\":40", "\"burst\":1e300").m_burst,
+            1'000'000'000U);
+  EXPECT_EQ(first_tenant("\"burst\":40", "\"burst\":2.5").m_burst, 2U);
+}
+
+// Guards against a faulty tenant that is taken in part: without its regions,
+// its priority or its quota, its requests would go where they must not. The
+// error names the tenant and no key.
+TEST(OperatorDocument, FaultyTenantsAreRefusedWithTheirName) {
+  const std::string document = kTenantDocument;
+  struct Row {
+    std::string m_from;
+    std::string m_to;
+    std::string m_named;
+  };
+  const std::string regions = "\"allowed_regions\":[\"luzon\",\"visayas\"]";
+  for (const auto& [from, to, named] : std::vector<Row>{
+           {"\"name\":\"ferry\",", "", "tenants.name"},
+           {"\"name\":\"ferry\"", "\"name\":7", "tenants.name"},
+           {"\"name\":\"ferry\"", "\"name\":\"\"", "$.tenants[0].name"},
+           {"\"name\":\"ferry\"", "\"name\":\"fer\\nry\"", "$.tenants[0].name"},
+           {"\"name\":\"ferry\"", "\"name\":\"island\"", "$.tenants[1].name"},
+           {"[\"k-1\",\"k-2\"]", "\"k-1\"", "ferry.api_keys"},
+           {"[\"k-1\",\"k-2\"]", "[17355]", "ferry.api_keys"},
+           {"[\"k-1\",\"k-2\"]", "[\"\"]", "\"ferry\""},
+           {"[\"k-1\",\"k-2\"]", "[\"k 1\"]", "\"ferry\""},
+           {"[\"k-1\",\"k-2\"]", "[\"k-1\\r\\nX: y\"]", "\"ferry\""},
+           {"[\"k-1\",\"k-2\"]", "[\"" + std::string(257, 'k') + "\"]",
+            "\"ferry\""},
+           {"[\"k-3\"]", "[\"k-2\"]", "\"island\""},
+           {"\"rate_per_s\":12.5", "\"rate_per_s\":-1", "ferry.rate_per_s"},
+           {"\"rate_per_s\":12.5", "\"rate_per_s\":\"12\"", "ferry.rate_per_s"},
+           {"\"burst\":40", "\"burst\":-0.5", "ferry.burst"},
+           {"\"burst\":40", "\"burst\":[40]", "ferry.burst"},
+           {"\"priority\":2", "\"priority\":-2", "ferry.priority"},
+           {"\"priority\":2", "\"priority\":\"high\"", "ferry.priority"},
+           {regions, "\"allowed_regions\":[\"nil\"]", "\"nil\""},
+           {regions, "\"allowed_regions\":[7]", "ferry.allowed_regions"},
+           {regions, "\"allowed_regions\":\"luzon\"", "ferry.allowed_regions"},
+           {"\"allowed_regions\":[\"luzon\"],\"weighted",
+            "\"allowed_regions\":\"luzon\",\"weighted", "r-1.allowed_regions"},
+           {"\"allow_anonymous\":true", "\"allow_anonymous\":\"yes\"",
+            "r-1.allow_anonymous"},
+           {"\"tenants\":[", "\"tenants\":{},\"later\":[", "document.tenants"},
+           {"\"tenants\":[", "\"tenants\":[7,", "document.tenants"}}) {
+    const Result<Deployment> parsed =
+        ParseOperatorDocument(Replaced(document, from, to), MakeRegionByZone());
+    std::string message = parsed ? "" : parsed.error().m_message;
+    if (parsed) {
+      for (const Problem& problem : config::CheckDeployment(parsed.value()))
+        message += ToString(problem) + "\n";
+    }
+    EXPECT_NE(message.find(named), std::string::npos)
+        << from << " -> " << to << ": " << message;
+    EXPECT_EQ(message.find("k-"), std::string::npos) << message;
+    EXPECT_EQ(message.find("kkk"), std::string::npos) << message;
+    EXPECT_EQ(message.find("17355"), std::string::npos) << message;
+  }
+}
+
 constexpr const char* kAnnouncement =
     R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"luz-caloocan",
         "version":"v1","slots":3,"state":"serving","cold_left_s":1.5,
@@ -290,6 +486,25 @@
             std::string::npos);
 }
 
+// Guards against entry hosts that use a key for longer than the platform allows
+// after it was taken away, and against a lease that the platform does not ask
+// for.
+TEST(NodeSettings, TheKeyLeaseIsShorterThanTheTimeToRevoke) {
+  const auto lease = [](const std::string& bounds) {
+    return ToEntrySettings(
+               ParseNodeSettings(Replaced(kNode, "\"grace_s\":6", bounds))
+                   .value())
+        .value()
+        .m_key_lease;
+  };
+  EXPECT_EQ(lease("\"strict_revocation\":true,\"revoke_s\":5"),
+            milliseconds(4000));
+  EXPECT_EQ(lease("\"strict_revocation\":false,\"revoke_s\":5"), std::nullopt);
+  EXPECT_EQ(lease("\"revoke_s\":5"), std::nullopt);
+  EXPECT_EQ(lease("\"strict_revocation\":null,\"revoke_s\":null"),
+            std::nullopt);
+}
+
 entry::ServingView ViewOf(const Deployment& document) {
   return {.m_routes =
               std::make_shared<const steering::RouteTable>(document.m_routes)};
@@ -343,6 +558,42 @@
   EXPECT_FALSE(net::FindHeader(upstream_head.m_headers, "Connection"));
 }
 
+// Guards against an upstream that receives the key of a caller, or that takes
+// the name which the caller states for its tenant. Without tenants in the
+// document, the fields are the caller's own.
+TEST(RequestDialect, TheTenantReplacesTheKey) {
+  const auto view =
+      ViewOf(ParseOperatorDocument(kDocument, MakeRegionByZone()).value());
+  RequestHead head = Head("jepu9.example", "/puka111/1");
+  for (const std::string name : {"Authorization", "aUTHORIZATION"})
+    head.m_headers.push_back({name, "Bearer k-17"});
+  for (const std::string name : {"Tenant", "tenant", "TENANT"})
+    head.m_headers.push_back({name, "forged"});
+  const auto values = [&](const entry::Route& route, const std::string& name) {
+    const steering::Selection selection{.m_instance = {"i-7f"}};
+    std::vector<std::string> found;
+    for (const Header& header :
+         RequestDialect::UpstreamHead(head, route, milliseconds(900), "",
+                                      selection)
+             .m_headers) {
+      if (net::EqualsIgnoreCase(header.m_name, name))
+        found.push_back(header.m_value);
+    }
+    return found;
+  };
+  using Values = std::vector<std::string>;
+  entry::Route route = RequestDialect::Parse(head, view).value();
+  EXPECT_EQ(values(route, "Authorization"),
+            (Values{"Bearer k-17", "Bearer k-17"}));
+  EXPECT_EQ(values(route, "Tenant"), (Values{"forged", "forged", "forged"}));
+  route.m_has_tenants = true;
+  EXPECT_EQ(values(route, "Authorization"), Values());
+  EXPECT_EQ(values(route, "Tenant"), Values());
+  route.m_tenant = TenantId{"ferry"};
+  EXPECT_EQ(values(route, "Authorization"), Values());
+  EXPECT_EQ(values(route, "Tenant"), Values{"ferry"});
+}
+
 // Guards against accepting the response to another request, and against taking
 // an error as a statement that the request did not run.
 TEST(RequestDialect, ResponsesAreClassified) {
