Ignore lease statements whose clock overflows

An echoed clock of 2^63 or more became negative; subtracting the age overflowed and gave a lease of centuries.

Guarded by TenantKeyLease.ImplausibleStatementsAreIgnored, which failed before.

--- a/src/tenants/key_lease.cc
+++ b/src/tenants/key_lease.cc
@@ -19,8 +19,8 @@
   const MonoTime sent_at{MonoClock::duration(
       static_cast<MonoClock::rep>(statement.m_echoed_clock))};
   // A clock that this process cannot have sent, or a negative age, would make
-  // the lease longer than it is.
-  const bool is_plausible = statement.m_echoed_clock > 0 && sent_at <= now &&
+  // the lease longer than it is. A clock of 2^63 or more becomes negative.
+  const bool is_plausible = sent_at > MonoTime{} && sent_at <= now &&
                             statement.m_age >= std::chrono::milliseconds(0) &&
                             statement.m_age < std::chrono::hours(24);
   if (!is_plausible)
