Check a reused connection again right before sending

Cause: an idle connection was checked when it was taken, but a request may then wait for the link between regions; and a response lost after the work was done counted like a forgotten idle connection, which switches reuse off for 5 s.

Change: a request that runs at most once connects anew if the upstream closed the connection meanwhile. Only failures within 100 ms and a round trip count.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -130,7 +130,7 @@
                          bool is_expired);
   boost::asio::awaitable<bool> SendRequest(
       OutgoingRequest& request,
-      const steering::InstanceCounters& counters);
+      const steering::Selection& selection);
   // Sends the body. Returns true as well if a response that arrived ended it.
   boost::asio::awaitable<bool> SendRequestBody(OutgoingRequest& request);
   boost::asio::awaitable<bool> SendBodyChunk(std::string_view data);
@@ -178,6 +178,7 @@
   bool m_is_answered_early = false;   // bytes arrived while the body was sent
   bool m_is_body_unfinished = false;  // the upstream is owed bytes of it
   std::size_t m_response_body_bytes = 0;
+  MonoTime m_send_started_at;
   AttemptResult m_result;
 };
 
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -29,6 +29,10 @@
 // is left. Slow readers pause for a second or two at most.
 inline constexpr std::chrono::seconds kMaxSendStall{5};
 
+// An upstream that has forgotten an idle connection resets it at once. A later
+// failure has another cause, such as a response that was lost.
+inline constexpr std::chrono::milliseconds kForgottenAnswerTime{100};
+
 // Estimated size of the head of a message.
 inline constexpr std::size_t kHeadBytes = kChunkBytes / 16;
 
@@ -70,7 +74,7 @@
   connect.SetAttribute("reused", m_result.m_attempt.m_is_reused_connection);
   connect.End();
   SpanScope send = m_span.Child("send");
-  if (!co_await SendRequest(request, *selection.m_slot.Counters())) {
+  if (!co_await SendRequest(request, selection)) {
     send.SetFailed();
     co_return std::move(m_result);
   }
@@ -82,7 +86,9 @@
     response.SetFailed();
     if (m_result.m_attempt.m_is_reused_connection &&
         *m_result.m_failure == Failure::kResponseTruncated &&
-        !m_result.m_is_cancelled)
+        !m_result.m_is_cancelled &&
+        MonoClock::now() - m_send_started_at <
+            attempt_internal::kForgottenAnswerTime + 2 * selection.m_delay)
       m_pool.OnReuseFailed(MonoClock::now());
     co_return std::move(m_result);
   }
@@ -191,7 +197,7 @@
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendRequest(
     OutgoingRequest& request,
-    const steering::InstanceCounters& counters) {
+    const steering::Selection& selection) {
   const bool has_capacity = co_await m_pacer.WaitForCapacity(
       LinkDirection::kToUpstream,
       request.m_body.size() + attempt_internal::kHeadBytes, m_deadline);
@@ -201,6 +207,15 @@
                          "link rate limit: no capacity before the deadline"));
     co_return false;
   }
+  // The upstream may have closed the idle connection during the wait above.
+  if (m_result.m_attempt.m_is_reused_connection && !m_is_repeatable &&
+      m_connection->Stale()) {
+    m_pool.OnReuseFailed(MonoClock::now());
+    m_result.m_attempt.m_is_reused_connection = false;
+    const bool is_connected = co_await ConnectNew(selection);
+    if (!is_connected)
+      co_return false;
+  }
   // The caller may have disconnected during earlier attempts or the connect.
   if (m_exchange.IsCallerGone()) {
     SetFailure(Failure::kCallerDisconnected,
@@ -208,7 +223,7 @@
     co_return false;
   }
   // Another response may have arrived during the connect or the wait above.
-  if (!counters.AcceptsRequests(MonoClock::now())) {
+  if (!selection.m_slot.Counters()->AcceptsRequests(MonoClock::now())) {
     m_result.m_is_withheld = true;
     SetFailure(Failure::kConnectFailed,
                MakeError(ErrorCode::kUnavailable,
@@ -223,6 +238,7 @@
     co_return false;
   }
   RecordEvent(request::AttemptEvent::kSendStarted);
+  m_send_started_at = MonoClock::now();
   m_link.Record(limits::LinkSide::kOut, attempt_internal::kHeadBytes,
                 MonoClock::now());
   const Status sent = co_await m_connection->SendHead(request.m_head);
