Check the key of a request again right before it is sent

A request whose key was taken away while it waited for a connection, or while the process was suspended, was sent: SendLease compared the clock with the end of the lease only, which the document without the key renews. CheckAccess read the end of the lease after the table of keys, so a thread that was suspended between the two could combine an old table with a new lease.

Further faults of the same path: - A second check started from the regions and priority that the first had set. A request was refused with "no region in common" when its tenant moved from one region to another while the body arrived. - A refusal at arrival said "not run" for a request with an Idempotency-Key that another host may have run. - A refusal before a retry replaced the error response of the first attempt. - A stored response was returned to another tenant with the same Idempotency-Key.

CheckTenantAccess makes the decision without sockets and starts from the values of the rule. SendLease looks the key up again; the end of the lease is read first and the clock last. The digest of a claim includes the tenant.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -52,7 +52,7 @@
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
   // Not sent: after its selection the instance stated that it wants no
-  // requests, or the lease of the caller's key ran out.
+  // requests, or the caller's key was taken away or its lease ran out.
   bool m_is_withheld = false;
 };
 
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -157,11 +157,12 @@
                          "the instance stated that it wants no requests"));
     co_return false;
   }
-  if (!m_lease.IsValid(MonoClock::now())) {
+  if (!m_lease.IsValid()) {
     m_result.m_is_withheld = true;
     SetFailure(Failure::kConnectFailed,
                MakeError(ErrorCode::kUnavailable,
-                         "the lease of the caller's key ran out"));
+                         "the caller's key was taken away or its lease ran "
+                         "out"));
     co_return false;
   }
   RecordEvent(request::AttemptEvent::kSendStarted);
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -9,11 +9,12 @@
 #include <chrono>
 #include <utility>
 
-#include "core/hash.h"
 #include "entry/attempt_runner_impl.h"
 #include "entry/caller_key.h"
 #include "entry/claim_client.h"
+#include "entry/claim_digest.h"
 #include "entry/refusal.h"
+#include "entry/tenant_access.h"
 #include "limits/topology.h"
 #include "net/http_exchange.h"
 #include "observe/log.h"
@@ -21,7 +22,6 @@
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
 #include "tenants/access.h"
-#include "tenants/home_regions.h"
 
 // Sections: request state, admission, body and claim, attempts, responses.
 
@@ -201,6 +201,9 @@
   request.m_received_at = MonoClock::now();
   request.m_span = m_tracer.StartRequestSpan(exchange.Head().m_headers);
   request.m_span.SetAttribute("service", request.m_route.m_service.m_value);
+  // The policy of the service is not known yet, so a request with an
+  // Idempotency-Key may have run through another host.
+  request.m_is_repeatable = request.m_route.m_idempotency_key.empty();
   SpanScope admission = request.m_span.Child("admission");
   std::optional<Refusal> refusal = CheckAccess(exchange, request);
   if (!refusal)
@@ -312,54 +315,23 @@
 template <Dialect D, steering::SelectionPolicy P>
 std::optional<Refusal> Forwarder<D, P>::CheckAccess(net::HttpExchange& exchange,
                                                     Request& request) {
+  const AccessState state{
+      .m_may_be_outdated = MayBeOutdated(),
+      .m_lease_end = m_shared.m_key_lease_end.load(std::memory_order_acquire)};
   const rcu::ReadSection section;
-  const tenants::TenantTable& table = *m_shared.m_view.Read(section).m_tenants;
-  Route& route = request.m_route;
-  route.m_has_tenants = !table.empty();
-  route.m_tenant.reset();
-  if (!route.m_has_tenants)
+  const tenants::AccessAnswer answer = CheckTenantAccess(
+      exchange.Head().m_headers, *m_shared.m_view.Read(section).m_tenants,
+      state, request.m_route);
+  if (!tenants::IsRefused(answer))
     return std::nullopt;
-  const tenants::Credential credential =
-      ReadCallerKey(exchange.Head().m_headers);
-  const std::optional<tenants::TenantIndex> index =
-      table.FindByKey(credential.m_key);
-  const tenants::AccessAnswer answer = tenants::DecideAccess(
-      {.m_has_tenants = true,
-       .m_allows_anonymous = route.m_allows_anonymous,
-       .m_credential = credential.m_state,
-       .m_is_key_known = index.has_value(),
-       .m_may_be_outdated = MayBeOutdated(),
-       .m_is_lease_expired =
-           MonoClock::now() >=
-           m_shared.m_key_lease_end.load(std::memory_order_acquire)});
-  if (tenants::IsRefused(answer)) {
-    m_metrics.CountRefusal(answer);
-    return Refusal{
-        .m_status = tenants::StatusOf(answer),
-        .m_verdict = request.m_verdict,
-        .m_reason = std::string(tenants::ReasonOf(answer)),
-        .m_retry_after =
-            tenants::StatusOf(answer) == forwarder_internal::kServiceUnavailable
-                ? forwarder_internal::kRetryAfter
-                : milliseconds(0)};
-  }
-  if (answer != tenants::AccessAnswer::kTenant)
-    return std::nullopt;
-  const Tenant& tenant = table.At(*index);
-  route.m_tenant = tenant.m_name;
-  if (tenant.m_priority)
-    route.m_priority = tenant.m_priority;
-  std::optional<std::vector<RegionId>> regions =
-      tenants::CommonRegions(route.m_allowed_regions, tenant.m_allowed_regions);
-  if (!regions) {
-    m_metrics.CountRefusal(RefusalCause::kNoRegion);
-    return Refusal{.m_verdict = request.m_verdict,
-                   .m_reason =
-                       "the route and the tenant have no region in "
-                       "common"};
-  }
-  route.m_allowed_regions = *std::move(regions);
-  return std::nullopt;
+  m_metrics.CountRefusal(answer);
+  return Refusal{.m_status = tenants::StatusOf(answer),
+                 .m_verdict = request::CombineVerdicts(
+                     request.m_verdict, request.VerdictWithoutClaim()),
+                 .m_reason = std::string(tenants::ReasonOf(answer)),
+                 .m_retry_after = tenants::IsTemporary(answer)
+                                      ? forwarder_internal::kRetryAfter
+                                      : milliseconds(0)};
 }
 
 template <Dialect D, steering::SelectionPolicy P>
@@ -538,14 +510,13 @@
   const RequestHead& head = exchange.Head();
   request.m_claim_attempt =
       m_shared.m_next_claim_attempt.fetch_add(1, std::memory_order_relaxed);
-  const ClaimRequest claim{
-      .m_host = m_shared.m_settings.m_host,
-      .m_incarnation = m_shared.m_incarnation,
-      .m_service = request.m_route.m_service,
-      .m_key = request.m_route.m_idempotency_key,
-      .m_attempt = request.m_claim_attempt,
-      .m_digest = Sha256(head.m_method + "\n" + request.m_route.m_target +
-                         "\n" + request.m_outgoing.m_body)};
+  const ClaimRequest claim{.m_host = m_shared.m_settings.m_host,
+                           .m_incarnation = m_shared.m_incarnation,
+                           .m_service = request.m_route.m_service,
+                           .m_key = request.m_route.m_idempotency_key,
+                           .m_attempt = request.m_claim_attempt,
+                           .m_digest = ClaimDigest(head, request.m_route,
+                                                   request.m_outgoing.m_body)};
   SpanScope step = request.m_span.Child("claim");
   const std::optional<ClaimReply> reply =
       co_await m_claims.Claim(claim, request.m_deadline.m_time);
@@ -592,6 +563,11 @@
   while (true) {
     // The key may have been taken away since the request was admitted.
     const std::optional<Refusal> refusal = CheckAccess(exchange, request);
+    if (refusal && request.m_fallback) {
+      co_await RespondFromUpstream(exchange, request,
+                                   *std::move(request.m_fallback));
+      co_return;
+    }
     if (refusal) {
       FinishClaim(request, std::nullopt);
       co_await Refuse(exchange, &request, *refusal);
@@ -731,8 +707,9 @@
       exchange.Head(), request.m_route, remaining,
       m_tracer.UpstreamTraceparent(span, exchange.Head().m_headers), selection);
   const LinkPacer pacer(m_shared.m_view, request.m_region, selection.m_region);
-  const SendLease lease(m_shared.m_key_lease_end,
-                        request.m_route.m_tenant.has_value());
+  const SendLease lease(m_shared.m_view, m_shared.m_key_lease_end,
+                        ReadCallerKey(exchange.Head().m_headers).m_key,
+                        request.m_route.m_tenant);
   AttemptRunner<D> runner(exchange, m_pool, m_watch, pacer, lease,
                           request.m_route, request.m_deadline.m_time,
                           m_shared.m_settings.m_connect_timeout, span);
--- a/src/entry/request_metrics.cc
+++ b/src/entry/request_metrics.cc
@@ -18,8 +18,6 @@
       return "claim";
     case RefusalCause::kNoSlot:
       return "no_slot";
-    case RefusalCause::kNoRegion:
-      return "no_region";
   }
   return "unknown";
 }
--- a/src/entry/request_metrics.h
+++ b/src/entry/request_metrics.h
@@ -29,7 +29,6 @@
   kNoMemory,         // no memory for the body
   kClaimNotGranted,  // the claim was not granted
   kNoSlot,           // no instance had a free slot at selection
-  kNoRegion,         // no region may serve both the route and the tenant
 };
 
 // Label of the metric jujube_requests_refused_total.
@@ -56,9 +55,9 @@
   static constexpr std::size_t kAdmissionAnswerCount =
       static_cast<std::size_t>(steering::AdmissionAnswer::kPriorityTooLow) + 1;
   static constexpr std::size_t kRefusalCauseCount =
-      static_cast<std::size_t>(RefusalCause::kNoRegion) + 1;
+      static_cast<std::size_t>(RefusalCause::kNoSlot) + 1;
   static constexpr std::size_t kAccessAnswerCount =
-      static_cast<std::size_t>(tenants::AccessAnswer::kLeaseExpired) + 1;
+      static_cast<std::size_t>(tenants::AccessAnswer::kNoRegion) + 1;
   static constexpr std::size_t kRetryAnswerCount =
       static_cast<std::size_t>(steering::RetryAnswer::kBudgetSpent) + 1;
 
--- a/src/entry/route.cc
+++ b/src/entry/route.cc
@@ -43,9 +43,11 @@
   route.m_rule_name = rule.m_name;
   route.m_is_repeatable = rule.m_kind == RequestKind::kRepeatable;
   route.m_priority = rule.m_priority;
+  route.m_rule_priority = rule.m_priority;
   route.m_time_limit = rule.m_time_limit;
   route.m_max_attempts = rule.m_max_attempts;
   route.m_allowed_regions = rule.m_allowed_regions;
+  route.m_rule_regions = rule.m_allowed_regions;
   route.m_allows_anonymous = rule.m_allows_anonymous;
   if (!rule.m_has_affinity)
     route.m_affinity_hash = 0;
--- a/src/entry/route.h
+++ b/src/entry/route.h
@@ -36,8 +36,12 @@
   std::vector<RegionId> m_allowed_regions;  // empty: all
   bool m_allows_anonymous = false;          // no key of a tenant is needed
 
-  // Set by the forwarder. With tenants in the document, the key of the caller
-  // and any name of a tenant that it sent are not passed on.
+  // Values of the rule; those above include the ones of the tenant.
+  std::optional<std::uint8_t> m_rule_priority;
+  std::vector<RegionId> m_rule_regions;
+
+  // Set by CheckTenantAccess. With tenants in the document, the key of the
+  // caller and any name of a tenant that it sent are not passed on.
   bool m_has_tenants = false;
   // Tenant whose key the caller sent; empty: none.
   std::optional<TenantId> m_tenant;
--- a/src/entry/send_lease.h
+++ b/src/entry/send_lease.h
@@ -1,29 +1,43 @@
 // SendLease: whether a request with a key may still be sent to an upstream.
 //
-// Asked right before the first byte is sent: the lease may run out while the
-// request waits for a connection, or while the process is suspended.
+//   const SendLease lease(view, lease_end, key, tenant);
+//   if (lease.IsValid())
+//     ...send the first byte...
+//
+// Asked right before the first byte is sent: while the request waits for a
+// connection, or while the process is suspended, the lease may run out and the
+// key may be taken away.
 
 #pragma once
 
 #include <atomic>
+#include <optional>
+#include <string_view>
 
 #include "core/clock.h"
+#include "entry/serving_view.h"
+#include "gen/types.h"
+#include "rcu/cell.h"
 
 namespace jujube::entry {
 
 class SendLease {
  public:
-  // `end` is updated by the control thread and must outlive this object.
-  SendLease(const std::atomic<MonoTime>& end, bool has_key)
-      : m_end(end), m_has_key(has_key) {}
+  // `view`, `end` and `key` must outlive this object. Without a tenant, the
+  // request needs no lease.
+  SendLease(const rcu::Cell<ServingView>& view,
+            const std::atomic<MonoTime>& end,
+            std::string_view key,
+            std::optional<TenantId> tenant);
 
-  bool IsValid(MonoTime now) const {
-    return !m_has_key || now < m_end.load(std::memory_order_acquire);
-  }
+  // True if the tenant still holds the key and the lease has not run out.
+  bool IsValid() const;
 
  private:
+  const rcu::Cell<ServingView>& m_view;
   const std::atomic<MonoTime>& m_end;
-  bool m_has_key;
+  const std::string_view m_key;
+  const std::optional<TenantId> m_tenant;
 };
 
 }  // namespace jujube::entry
--- a/src/tenants/access.cc
+++ b/src/tenants/access.cc
@@ -35,8 +35,9 @@
       inputs.m_credential == CredentialState::kPresent && inputs.m_is_key_known;
   if (!has_tenant)
     return AnswerWithoutTenant(inputs);
-  return inputs.m_is_lease_expired ? AccessAnswer::kLeaseExpired
-                                   : AccessAnswer::kTenant;
+  if (inputs.m_is_lease_expired)
+    return AccessAnswer::kLeaseExpired;
+  return inputs.m_has_region ? AccessAnswer::kTenant : AccessAnswer::kNoRegion;
 }
 
 std::string_view ToString(AccessAnswer answer) {
@@ -57,6 +58,8 @@
       return "key_check_outdated";
     case AccessAnswer::kLeaseExpired:
       return "key_lease_expired";
+    case AccessAnswer::kNoRegion:
+      return "no_region";
   }
   return "unknown";
 }
@@ -73,15 +76,18 @@
       return "the configuration of this host may be outdated";
     case AccessAnswer::kLeaseExpired:
       return "this host cannot confirm that the key is still valid";
+    case AccessAnswer::kNoRegion:
+      return "the route and the tenant have no region in common";
     default:
       return "accepted";
   }
 }
 
 std::uint16_t StatusOf(AccessAnswer refusal) {
-  const bool is_temporary = refusal == AccessAnswer::kOutdated ||
-                            refusal == AccessAnswer::kLeaseExpired;
-  return is_temporary ? kServiceUnavailable : kUnauthorized;
+  const bool is_key_refused = refusal == AccessAnswer::kNoKey ||
+                              refusal == AccessAnswer::kMalformedKey ||
+                              refusal == AccessAnswer::kUnknownKey;
+  return is_key_refused ? kUnauthorized : kServiceUnavailable;
 }
 
 }  // namespace jujube::tenants
--- a/src/tenants/access.h
+++ b/src/tenants/access.h
@@ -27,6 +27,7 @@
   bool m_is_key_known = false;      // a tenant of the document holds the key
   bool m_may_be_outdated = false;   // other hosts may have a newer document
   bool m_is_lease_expired = false;  // a known key may have been taken away
+  bool m_has_region = true;  // a region may serve both the route and the tenant
 
   friend auto operator<=>(const AccessInputs&, const AccessInputs&) = default;
 };
@@ -40,6 +41,7 @@
   kUnknownKey,
   kOutdated,      // the key or route may be newer than the configuration
   kLeaseExpired,  // the key may have been taken away
+  kNoRegion,      // no region may serve both the route and the tenant
 };
 
 AccessAnswer DecideAccess(const AccessInputs& inputs);
@@ -54,6 +56,12 @@
 // Reason for the caller, without its key.
 std::string_view ReasonOf(AccessAnswer refusal);
 
+// True if the same request may be accepted later on this host.
+constexpr bool IsTemporary(AccessAnswer refusal) {
+  return refusal == AccessAnswer::kOutdated ||
+         refusal == AccessAnswer::kLeaseExpired;
+}
+
 // HTTP status of a refusal: 401 or 503.
 std::uint16_t StatusOf(AccessAnswer refusal);
 
