--- a/tests/unit/feed_state_test.cc
+++ b/tests/unit/feed_state_test.cc
@@ -1,6 +1,8 @@
+#include <array>
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -151,6 +153,47 @@
   EXPECT_EQ(subscriber.Index(), 3U);
 }
 
+// Guards against entry hosts that keep the tenants of an earlier document, or
+// that never get a document with as many keys as the check allows: its change
+// exceeds the limit of one message.
+TEST(FeedPublisher, TenantsReachASubscriber) {
+  Publisher publisher;
+  PublishUpTo(&publisher, 1);
+  Subscriber subscriber;
+  Cursor cursor;
+  const auto deliver_all = [&](std::uint64_t index) {
+    constexpr int kMaxMessages = 1000;
+    for (int i = 0; i < kMaxMessages && subscriber.Index() < index; ++i) {
+      const auto message = publisher.NextMessage(&cursor);
+      ASSERT_TRUE(message);
+      Deliver(&subscriber, *message);
+    }
+  };
+  deliver_all(1);
+  constexpr std::size_t kKeysPerTenant = 100;
+  for (std::uint64_t index = 2; index <= 5; ++index) {
+    // Few, many, other ones and none.
+    constexpr std::array<std::size_t, 4> kTenantCounts = {3, 1000, 999, 0};
+    FeedState state = *StateAt(1);
+    state.m_index = index;
+    for (std::size_t i = 0; i < kTenantCounts[index - 2]; ++i) {
+      Tenant& tenant = state.m_deployment.m_tenants.emplace_back();
+      tenant.m_name = {"tenant-" + std::to_string(i)};
+      for (std::size_t j = 0; j < kKeysPerTenant; ++j) {
+        std::string key = std::to_string(index * 1000000 + i * 1000 + j);
+        key.resize(80, 'k');
+        tenant.m_keys.push_back(std::move(key));
+      }
+    }
+    const auto published =
+        std::make_shared<const FeedState>(Canonical(std::move(state)));
+    ASSERT_TRUE(publisher.Publish(published));
+    deliver_all(index);
+    ASSERT_NE(subscriber.Current(), nullptr);
+    EXPECT_EQ(*subscriber.Current(), *published) << index;
+  }
+}
+
 // Guards against a heartbeat that calls a subscriber current while changes for
 // it wait in its queue.
 TEST(FeedPublisher, SubscriberIsUpToDateAfterTheLastChange) {
