--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -104,6 +104,17 @@
          R"("services":[{"name":"s","max_connections":10}],"limits":{}})";
 }
 
+// The route "r" of this document serves anonymous callers, "q" those of a
+// tenant.
+std::string TenantDocumentText(int number) {
+  std::string text = DocumentText(number);
+  const std::string route = R"("name":"r",)";
+  text.insert(text.find(route) + route.size(), R"("allow_anonymous":true,)");
+  text.insert(text.find(R"("services")"),
+              R"("tenants":[{"name":"ferry","api_keys":["k-1"]}],)");
+  return text;
+}
+
 // An upstream that answers each request with the same response, one connection
 // at a time.
 class FixedResponseUpstream {
@@ -168,8 +179,8 @@
            R"(","inner_port_range":[7620,7635],"seeds":[)" + seeds +
            R"(],"zones":{"z":"r"},"bootstrap":)" +
            (is_first_start ? "true" : "false") + R"(,"data_dir":")" + folder +
-           R"(","heartbeat_s":0.3,"bounds":{"grace_s":6},)"
-           R"("fault_tolerance":{"machines":2},"limits":{"memory_mb":)" +
+           R"(","heartbeat_s":0.3,"bounds":{"grace_s":6)" + m_more_bounds +
+           R"(},"fault_tolerance":{"machines":2},"limits":{"memory_mb":)" +
            std::to_string(m_memory_mb) + R"(},"listen":{"control":)" +
            quoted_endpoint(kControlPort) +
            ",\"directory\":" + quoted_endpoint(kDirectoryPort) +
@@ -232,10 +243,13 @@
   }
 
   static void PutUntilAccepted(int number, int base) {
+    PutUntilAccepted(DocumentText(number), base);
+  }
+  static void PutUntilAccepted(const std::string& document, int base) {
     WaitUntil("the document is accepted", [&] {
       return CallControl(0, "POST", "/document",
                          "Base-Version: " + std::to_string(base) + "\r\n",
-                         DocumentText(number))
+                         document)
                  .m_status == 200;
     });
   }
@@ -276,6 +290,7 @@
 
   TempFolder m_folder;
   int m_memory_mb = 256;
+  std::string m_more_bounds;  // of the settings, starting with a comma
   std::map<std::size_t, std::unique_ptr<ChildProcess>> m_hosts;
 };
 
@@ -601,6 +616,50 @@
             [&] { return IsNamed(LookUpAt(kEntryHost), kOtherEntryHost); });
 }
 
+// Guards against an entry host without contact to the control hosts that keeps
+// accepting keys, that refuses callers which need none, or that callers with
+// keys are still sent to.
+TEST_F(DiscoveryTest, WithoutControlHostsOnlyKeysAreRefused) {
+  m_more_bounds = R"(,"strict_revocation":true,"revoke_s":2)";
+  for (std::size_t host = 0; host < 3; ++host)
+    Start(host);
+  Start(kEntryHost);
+  PutUntilAccepted(TenantDocumentText(3), 0);
+  const FixedResponseUpstream upstream(UpstreamEndpoint());
+  WaitUntilServed();
+  const Endpoint entry{.m_address = AddressOf(kEntryHost),
+                       .m_port = kRequestPort};
+  const auto status_of = [&](const std::string& target,
+                             const std::string& headers) {
+    return Call(entry, "GET " + target,
+                "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n" + headers)
+        .m_status;
+  };
+  const std::string key = "Authorization: Bearer k-1\r\n";
+  WaitUntil("the key is accepted",
+            [&] { return status_of("/q/1", key) == 200; });
+  EXPECT_EQ(status_of("/q/1", ""), 401);
+  EXPECT_EQ(status_of("/q/1", key + key), 401);
+  EXPECT_EQ(status_of("/p/1", "Authorization: Bearer other\r\n"), 401);
+  for (std::size_t host = 0; host < 3; ++host)
+    m_hosts.at(host)->Freeze();
+  WaitUntil("the lease has run out",
+            [&] { return status_of("/q/1", key) == 503; });
+  WaitUntil("the host does not name itself",
+            [&] { return !IsNamed(LookUpAt(kEntryHost), kEntryHost); });
+  const int earlier_requests = upstream.Requests();
+  EXPECT_EQ(status_of("/q/1", key), 503);
+  EXPECT_EQ(status_of("/p/1", key), 503);
+  EXPECT_EQ(upstream.Requests(), earlier_requests);
+  EXPECT_EQ(status_of("/p/1", ""), 200);
+  for (std::size_t host = 0; host < 3; ++host)
+    m_hosts.at(host)->Resume();
+  WaitUntil("the key is accepted again",
+            [&] { return status_of("/q/1", key) == 200; });
+  EXPECT_TRUE(m_hosts.at(kEntryHost)->HasLogged("KeyLeaseExpired"));
+  EXPECT_TRUE(m_hosts.at(kEntryHost)->HasLogged("KeyLeaseRenewed"));
+}
+
 // Guards against callers that are sent to an entry host in its planned stop,
 // and against a stopping host that no longer answers look-ups while it serves.
 TEST_F(DiscoveryTest, AStoppingEntryHostIsNotNamedToCallers) {
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -79,7 +79,7 @@
   CreateHostSettings(options);
   CreateDeployment(options);
   StartControls();
-  ApplyDeployment();
+  Apply(m_deployment);
   StartEntries();
 }
 
@@ -113,6 +113,7 @@
          .m_availability_zone = {kZone},
          .m_peers = peers,
          .m_data_folder = Path("data-" + peer.m_host.m_value),
+         .m_discovers_peers = options.m_key_lease.has_value(),
          .m_peer_key_file = Path("peer.key"),
          .m_operator_key_file = Path("operator.key"),
          .m_heartbeat = milliseconds(50),
@@ -126,15 +127,29 @@
          .m_platform = process::ReserveEndpoint(),
          .m_peer = process::ReserveEndpoint(),
          .m_operator = process::ReserveEndpoint(),
-         .m_control = voters,
+         .m_control =
+             options.m_key_lease ? ConnectThroughRelays(voters) : voters,
          .m_peer_key_file = Path("peer.key"),
          .m_platform_key_file = Path("platform.key"),
          .m_operator_key_file = Path("operator.key"),
+         .m_discovers_control = options.m_key_lease.has_value(),
          .m_drain_limit = options.m_drain_limit,
-         .m_connect_timeout = options.m_connect_timeout});
+         .m_connect_timeout = options.m_connect_timeout,
+         .m_key_lease = options.m_key_lease});
   }
 }
 
+std::vector<Endpoint> RequestSystem::ConnectThroughRelays(
+    const std::vector<Endpoint>& controls) {
+  std::vector<Endpoint> addresses;
+  auto& relays = m_relays.emplace_back();
+  for (const Endpoint& control : controls) {
+    relays.push_back(std::make_unique<process::TcpRelay>(control));
+    addresses.push_back(relays.back()->Address());
+  }
+  return addresses;
+}
+
 void RequestSystem::CreateDeployment(const SystemOptions& options) {
   m_deployment = {.m_number = 1,
                   .m_name = "request tests",
@@ -147,6 +162,7 @@
                                   .m_lookup_lifetime = kLookupLifetime,
                                   .m_retry_budget_permille = 1000,
                                   .m_slow_start = milliseconds(0)}},
+                  .m_tenants = options.m_tenants,
                   .m_blocks = {{"127.0.0.0/8", {"site-a"}}}};
   for (const EntrySettings& entry : m_entry_settings) {
     m_deployment.m_entry_hosts.push_back(
@@ -161,7 +177,7 @@
 
 void RequestSystem::StartControls() {
   for (const ControlSettings& settings : m_control_settings) {
-    std::filesystem::create_directory(settings.m_data_folder);
+    std::filesystem::create_directories(settings.m_data_folder);
     const std::string& name = settings.m_host.m_value;
     m_controls.push_back(
         ChildProcess({ProgramPath("jujube-controld"), "--settings",
@@ -189,17 +205,39 @@
   }
 }
 
-void RequestSystem::ApplyDeployment() {
+void RequestSystem::RestartControls() {
+  m_controls.clear();
+  StartControls();
+}
+
+void RequestSystem::RestartEntries() {
+  m_entries.clear();
+  StartEntries();
+}
+
+void RequestSystem::Apply(const Deployment& document) {
+  m_deployment = document;
   const net::HttpRequest request{.m_method = "POST",
                                  .m_target = "/v1/apply",
-                                 .m_body = ToJsonText(m_deployment)};
+                                 .m_body = ToJsonText(document)};
   WaitUntil([&] {
-    const Endpoint leader =
-        m_control_settings[LeaderIndex()].m_peers[LeaderIndex()].m_operator;
-    return CallOperator(leader, request).m_status == 200;
+    const std::size_t leader = LeaderIndex();
+    return CallOperator(m_control_settings[leader].m_peers[leader].m_operator,
+                        request)
+               .m_status == 200;
   });
 }
 
+void RequestSystem::CutOff(std::size_t entry) {
+  for (const auto& relay : m_relays[entry])
+    relay->Stall();
+}
+
+void RequestSystem::Reconnect(std::size_t entry) {
+  for (const auto& relay : m_relays[entry])
+    relay->Restore();
+}
+
 std::size_t RequestSystem::LeaderIndex() {
   while (true) {
     for (std::size_t i = 0; i < m_controls.size(); ++i) {
--- a/tests/process/request_fixture.h
+++ b/tests/process/request_fixture.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -28,6 +29,7 @@
 #include "gen/status.h"
 #include "net/http_call.h"
 #include "process/request_child.h"
+#include "process/tcp_relay.h"
 
 namespace jujube::testing {
 
@@ -37,6 +39,10 @@
   std::uint32_t m_region_cap = 60;  // requests in progress
   std::chrono::milliseconds m_connect_timeout{250};
   std::chrono::milliseconds m_drain_limit{60000};
+  std::vector<Tenant> m_tenants;
+  // If set, entry hosts discover the control hosts, each through a TcpRelay.
+  // Claims of non-repeatable requests are not available then.
+  std::optional<std::chrono::milliseconds> m_key_lease;
 };
 
 // The response that a caller received; status 0 if it was missing or truncated.
@@ -70,6 +76,18 @@
   ChildProcess StartCaller(const std::vector<std::string>& flags,
                            const std::string& output);
   std::size_t LeaderIndex();  // waits for a leader
+  // Kill the processes, if they run, and start them again.
+  void RestartEntries();
+  void RestartControls();
+
+  // ---- Documents
+  const Deployment& Document() const { return m_deployment; }
+  // Applies the document at the leader, repeatedly until it is acknowledged.
+  void Apply(const Deployment& document);
+
+  // ---- Connections of an entry host to all control hosts, with a key lease
+  void CutOff(std::size_t entry);  // without closing them
+  void Reconnect(std::size_t entry);
 
   // ---- Addresses
   const EntrySettings& SettingsOfEntry(std::size_t index) const {
@@ -130,11 +148,14 @@
   void CreateDeployment(const SystemOptions& options);
   void StartControls();
   void StartEntries();
-  void ApplyDeployment();
+  std::vector<Endpoint> ConnectThroughRelays(
+      const std::vector<Endpoint>& controls);
 
   std::string m_folder;
   std::uint64_t m_last_key_suffix = 10'000'000;
   Deployment m_deployment;
+  // By entry host, one for each control host.
+  std::vector<std::vector<std::unique_ptr<process::TcpRelay>>> m_relays;
   std::vector<ControlSettings> m_control_settings;
   std::vector<EntrySettings> m_entry_settings;
   std::map<std::string, UpstreamSettings> m_upstream_settings;
