--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -75,7 +75,7 @@
   // The connect timeout is explained by the load that the upstream reported.
   bool m_is_upstream_full = false;
   // Not sent: after its selection the instance stated that it wants no
-  // requests, or the lease of the caller's key ran out.
+  // requests, or the caller's key was taken away or its lease ran out.
   bool m_is_withheld = false;
   InstanceReport m_report;  // what the instance stated in its response
 };
