Keep the quotas of tenants over all entry hosts

The rate and burst of a tenant were read and ignored, so that a tenant could send any number of requests.

The leader of the control hosts keeps a token bucket for each tenant and grants its tokens to entry hosts in advance. A request over the quota gets 429 before any other work. The platform's bounds of quotas reach the control hosts, and 429 carries a Retry-After.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -166,6 +166,13 @@
                 return !m_runner.State().Config().Document().m_tenants.empty();
               }});
   m_discovery->RegisterHandlers(handlers);
+  m_quotas = std::make_unique<QuotaService>(QuotaServiceOptions{
+      .m_settings = m_settings.m_quotas,
+      .m_leading_since = [this] { return m_discovery->LeadingSince(); },
+      .m_confirmed_at = [this] { return m_discovery->ConfirmedAt(); },
+      .m_zone_of =
+          [this](const HostId& host) { return m_discovery->ZoneOf(host); }});
+  m_quotas->RegisterHandlers(handlers);
   m_discovery->Start();
 }
 
@@ -223,6 +230,8 @@
                                : m_feed_server.Publish(feed);
   if (m_discovery)
     m_discovery->SetFeedIndex(state.Config().FeedIndex());
+  if (m_quotas)
+    m_quotas->SetTenants(state.Config().Document().m_tenants);
   // A change that does not apply to the published state is sent as a snapshot.
   if (!published && has_change)
     (void)m_feed_server.Publish(feed);
@@ -232,6 +241,9 @@
   m_pending_renewals.clear();
   m_planner.Clear();
   m_shift_driver.Clear();
+  // Not left to the next poll, which may miss another leader in between.
+  if (m_discovery)
+    m_discovery->SetLeading(change.m_role == consensus::Role::kLeader);
   if (change.m_role != consensus::Role::kLeader)
     return;
   const MonoTime now = MonoClock::now();
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -20,6 +20,7 @@
 #include "control/host_lease_monitor.h"
 #include "control/shift_driver.h"
 #include "controld/discovery_service.h"
+#include "controld/quota_service.h"
 #include "controld/replica_runner.h"
 #include "feed/status_table.h"
 #include "gen/settings.h"
@@ -85,6 +86,7 @@
   net::FeedServer m_feed_server;
   std::unique_ptr<net::FrameServer> m_frame_server;
   std::unique_ptr<DiscoveryService> m_discovery;
+  std::unique_ptr<QuotaService> m_quotas;  // with m_discovery
   ControlPeer m_self;
   control::HostLeaseMonitor m_host_monitor;
   limits::LeaseClock m_lease_clock;
--- a/src/controld/discovery_service.cc
+++ b/src/controld/discovery_service.cc
@@ -341,6 +341,13 @@
   return hosts;
 }
 
+AvailabilityZoneId DiscoveryService::ZoneOf(const HostId& host) const {
+  const auto subscriber = m_subscribers.find(host);
+  return subscriber != m_subscribers.end()
+             ? subscriber->second.m_presence.m_availability_zone
+             : AvailabilityZoneId{};
+}
+
 // ---- Leases ----------------------------------------------------------------
 
 // The barrier confirms what was committed before its start, whatever the delay
@@ -360,6 +367,12 @@
   }
 }
 
+std::optional<MonoTime> DiscoveryService::ConfirmedAt() const {
+  return m_lease_confirmation
+             ? std::optional(m_lease_confirmation->m_confirmed_at)
+             : std::nullopt;
+}
+
 std::optional<ConfigLease> DiscoveryService::MakeLease(
     const Subscriber& subscriber,
     MonoTime now) const {
--- a/src/controld/discovery_service.h
+++ b/src/controld/discovery_service.h
@@ -107,6 +107,13 @@
   // Opens the connection to a control host again.
   void ReopenControlPeer(const Endpoint& endpoint);
   void SetLeading(bool is_leading);
+  // Time since which this host leads; empty if it does not.
+  std::optional<MonoTime> LeadingSince() const { return m_leading_since; }
+  // Start of the last read barrier that succeeded. Barriers run while this host
+  // leads and the document has tenants.
+  std::optional<MonoTime> ConfirmedAt() const;
+  // Zone of an entry host; empty if it is not known.
+  AvailabilityZoneId ZoneOf(const HostId& host) const;
   // Newest index of the configuration. Pushed to the entry hosts at once.
   void SetFeedIndex(std::uint64_t index);
 
--- a/src/entry/entry_control.cc
+++ b/src/entry/entry_control.cc
@@ -15,6 +15,7 @@
 #include "limits/topology.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
+#include "quotas/quota_timing.h"
 #include "steering/affinity_policy.h"
 #include "steering/candidate_collector.h"
 #include "steering/outlier_ejector.h"
@@ -22,7 +23,7 @@
 #include "steering/shift_state.h"
 
 // Sections: construction and peers, configuration, limits and views, ticks,
-// allotments, planned stop, status.
+// quotas, allotments, planned stop, status.
 
 namespace jujube::entry {
 
@@ -102,6 +103,7 @@
       m_lookup(std::make_shared<const lookup::Table>()),
       m_routes(std::make_shared<const steering::RouteTable>()),
       m_tenants(std::make_shared<const tenants::TenantTable>()),
+      m_quotas(shared.m_settings.m_host, shared.m_incarnation),
       m_key_lease(shared.m_settings.m_discovers_control
                       ? shared.m_settings.m_key_lease
                       : std::nullopt),
@@ -139,6 +141,15 @@
     options.m_on_delta = [this](const RegistryDelta& delta) {
       OnPeerDelta(delta);
     };
+    options.m_add_handlers = [this](const Endpoint& endpoint,
+                                    net::FrameDispatch* handlers) {
+      handlers->On<QuotaGrant>([this, endpoint](const net::FrameSource& source,
+                                                const QuotaGrant& grant) {
+        m_quotas.OnGrant({.m_host = {EndpointText(endpoint)},
+                          .m_incarnation = source.m_incarnation},
+                         grant);
+      });
+    };
   }
   return options;
 }
@@ -161,7 +172,13 @@
     m_entry_host_lists_due = MonoTime{};
   if (delta.m_lease) {
     const MonoTime now = MonoClock::now();
-    m_key_lease.OnStatement(*delta.m_lease, now);
+    const std::optional<MonoTime> confirmed_at =
+        m_key_lease.OnStatement(*delta.m_lease, now);
+    if (confirmed_at) {
+      m_quotas.OnLeader(
+          {.m_host = delta.m_host, .m_incarnation = delta.m_incarnation},
+          *confirmed_at);
+    }
     UpdateKeyLease(now);
   }
   m_entry_host_directory.OnReport(delta.m_host, delta.m_incarnation,
@@ -325,6 +342,8 @@
     asio::co_spawn(m_io, RenewLoop(), asio::detached);
   }
   asio::co_spawn(m_io, TickLoop(), asio::detached);
+  if (m_shared.m_settings.m_discovers_control)
+    asio::co_spawn(m_io, QuotaLoop(), asio::detached);
   return Success();
 }
 
@@ -354,6 +373,8 @@
   if (m_tenants->All() != m_feed_state->m_deployment.m_tenants) {
     m_tenants = std::make_shared<const tenants::TenantTable>(
         m_feed_state->m_deployment.m_tenants);
+    if (m_shared.m_settings.m_discovers_control)
+      m_quotas.SetTenants(m_tenants->All());
   }
   RebuildLookup();
   TrackLimits();
@@ -455,6 +476,8 @@
                        ? m_routes
                        : std::make_shared<const steering::RouteTable>();
   view->m_tenants = m_tenants;
+  if (m_shared.m_settings.m_discovers_control)
+    view->m_quotas = m_quotas.Table();
   view->m_limits = UsesAllotments() ? m_allotments.Table() : nullptr;
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
@@ -545,14 +568,17 @@
   SwitchToNewerFeed(now);
   UpdateConfigConfirmation(now);
   UpdateKeyLease(now);
+  ReportQuotas(now);
   UpdatePresence();
   UpdateEntryHostLists(now);
   if (m_shared.m_settings.m_discovers_control && now >= m_control_hosts_due)
     UpdateControlHosts(now);
   if (m_is_view_outdated)
     PublishView();
-  if (m_metrics.IsDue(now))
+  if (m_metrics.IsDue(now)) {
+    LogLimitChanges(now);
     UpdateMetrics(now);
+  }
 }
 
 void EntryControl::UpdateConfigConfirmation(MonoTime now) {
@@ -591,6 +617,44 @@
       *m_upstreams, m_frame_counters);
 }
 
+// ---- Quotas ----------------------------------------------------------------
+
+void EntryControl::ReportQuotas(MonoTime now) {
+  const std::optional<Endpoint> leader =
+      m_quotas.Leader() ? ParseEndpoint(m_quotas.Leader()->m_host.m_value)
+                        : std::nullopt;
+  const bool is_connected = leader && m_peers.PeerIncarnation(*leader) ==
+                                          m_quotas.Leader()->m_incarnation;
+  if (!is_connected) {
+    m_quotas.ExpireLease(now);
+    return;
+  }
+  const std::optional<QuotaReport> report = m_quotas.NextReport(now);
+  if (report)
+    m_peers.Send(*leader, *report);
+}
+
+asio::awaitable<void> EntryControl::QuotaLoop() {
+  asio::steady_timer timer(m_io);
+  while (!m_is_stopped) {
+    timer.expires_after(quotas::kUrgentReportInterval);
+    co_await timer.async_wait(kAwaitTuple);
+    if (!m_is_stopped && m_quotas.IsReportWanted())
+      ReportQuotas(MonoClock::now());
+  }
+}
+
+void EntryControl::LogLimitChanges(MonoTime now) {
+  for (const quotas::LimitChange& change : m_quotas.TakeLimitChanges(now)) {
+    observe::Log(
+        change.m_is_at_limit ? LogEvent::kTenantAtLimit
+                             : LogEvent::kTenantBelowLimit,
+        {{"tenant", change.m_tenant.m_value}, {"refused", change.m_refused}});
+  }
+  observe::GaugeOf(Metric::kTenantsAtLimit)
+      .Set(static_cast<std::int64_t>(m_quotas.TenantsAtLimit()));
+}
+
 // ---- Allotments ------------------------------------------------------------
 
 asio::awaitable<void> EntryControl::RenewLoop() {
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -35,6 +35,7 @@
 #include "net/feed_server.h"
 #include "net/frame_server.h"
 #include "net/peer_exchange.h"
+#include "quotas/quota_holder.h"
 #include "request/host_drain.h"
 #include "steering/counter_table.h"
 #include "steering/route_table.h"
@@ -98,6 +99,11 @@
   // Publishes the end of the lease for requests with keys.
   void UpdateKeyLease(MonoTime now);
   void UpdateMetrics(MonoTime now);
+  // Reports the use of quotas to the leader of the control hosts.
+  void ReportQuotas(MonoTime now);
+  // Reports sooner than with the next tick if requests wait for tokens.
+  boost::asio::awaitable<void> QuotaLoop();
+  void LogLimitChanges(MonoTime now);
   boost::asio::awaitable<void> RenewLoop();
   boost::asio::awaitable<void> RenewOnce();
   std::vector<Drain> ActiveDrains() const;
@@ -114,6 +120,7 @@
   std::shared_ptr<const lookup::Table> m_lookup;
   std::shared_ptr<const steering::RouteTable> m_routes;
   std::shared_ptr<const tenants::TenantTable> m_tenants;
+  quotas::QuotaHolder m_quotas;  // with discovered control hosts
   tenants::KeyLease m_key_lease;
   bool m_is_key_lease_expired = false;  // as logged last
   // False with discovered control hosts until one of them has confirmed the
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -62,6 +62,13 @@
   // the tenant of the request.
   std::optional<Refusal> CheckAccess(net::HttpExchange& exchange,
                                      Request& request);
+  // Refuses a request of a tenant that is over its quota. Waits for a moment if
+  // only this host has no tokens left.
+  boost::asio::awaitable<std::optional<Refusal>> AwaitQuota(
+      const Request& request);
+  // Spends a token of the tenant.
+  std::optional<Refusal> SpendQuota(const Request& request);
+  Refusal RefuseOverQuota(const Request& request);
   std::optional<Refusal> Admit(net::HttpExchange& exchange, Request& request);
   static std::optional<Refusal> CheckKey(const Request& request);
   boost::asio::awaitable<std::optional<Refusal>> ReadBody(
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -9,6 +9,11 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "core/hash.h"
 #include "entry/attempt_runner_impl.h"
 #include "entry/caller_key.h"
@@ -17,6 +22,7 @@
 #include "limits/topology.h"
 #include "net/http_exchange.h"
 #include "observe/log.h"
+#include "quotas/quota_timing.h"
 #include "request/idempotency_key.h"
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
@@ -40,6 +46,11 @@
 // an affinity key may all be in an availability zone that lost power.
 inline constexpr std::uint32_t kMaxConnectTimeouts = 4;
 
+// A request that waits for a token checks at this interval, short compared with
+// the round trip to the leader.
+inline constexpr milliseconds kTokenCheckInterval{10};
+
+inline constexpr std::uint16_t kTooManyRequests = 429;
 inline constexpr std::uint16_t kMinServerError = 500;
 inline constexpr std::uint16_t kServiceUnavailable = 503;
 // Retry-After if the route could not be determined. A slot becomes free or a
@@ -149,6 +160,7 @@
   Verdict m_verdict = Verdict::kNotRun;  // combined over all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
+  std::shared_ptr<quotas::QuotaCell> m_quota;  // null: no quota
   limits::Permit m_body_permit;  // memory of a large buffered body
   // Error response of an upstream, sent if no later attempt succeeds.
   std::optional<AttemptResult> m_fallback;
@@ -203,8 +215,12 @@
   request.m_span.SetAttribute("service", request.m_route.m_service.m_value);
   SpanScope admission = request.m_span.Child("admission");
   std::optional<Refusal> refusal = CheckAccess(exchange, request);
+  if (!refusal)
+    refusal = co_await AwaitQuota(request);
   if (!refusal)
     refusal = Admit(exchange, request);
+  if (!refusal)
+    refusal = SpendQuota(request);
   if (refusal)
     admission.SetFailed();
   admission.End();
@@ -274,7 +290,9 @@
                                               const Request* request,
                                               Refusal refusal) {
   const Route* route = request != nullptr ? &request->m_route : nullptr;
+  // The quota has set a time at which there is room again.
   if (route != nullptr && route->m_time_limit &&
+      refusal.m_status != forwarder_internal::kTooManyRequests &&
       refusal.m_retry_after > std::chrono::milliseconds::zero()) {
     refusal.m_retry_after = steering::SpreadRetryAfter(
         request::Remaining(request->m_deadline, MonoClock::now()), m_random());
@@ -313,10 +331,12 @@
 std::optional<Refusal> Forwarder<D, P>::CheckAccess(net::HttpExchange& exchange,
                                                     Request& request) {
   const rcu::ReadSection section;
-  const tenants::TenantTable& table = *m_shared.m_view.Read(section).m_tenants;
+  const ServingView& view = m_shared.m_view.Read(section);
+  const tenants::TenantTable& table = *view.m_tenants;
   Route& route = request.m_route;
   route.m_has_tenants = !table.empty();
   route.m_tenant.reset();
+  request.m_quota.reset();
   if (!route.m_has_tenants)
     return std::nullopt;
   const tenants::Credential credential =
@@ -347,6 +367,8 @@
     return std::nullopt;
   const Tenant& tenant = table.At(*index);
   route.m_tenant = tenant.m_name;
+  request.m_quota =
+      view.m_quotas != nullptr ? view.m_quotas->CellOf(*index) : nullptr;
   if (tenant.m_priority)
     route.m_priority = tenant.m_priority;
   std::optional<std::vector<RegionId>> regions =
@@ -362,6 +384,47 @@
   return std::nullopt;
 }
 
+// Only the first answer of a flood: a tenant over its quota causes no other
+// work.
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<std::optional<Refusal>> Forwarder<D, P>::AwaitQuota(
+    const Request& request) {
+  if (request.m_quota == nullptr)
+    co_return std::nullopt;
+  const MonoTime wait_until = request.m_received_at + quotas::kMaxTokenWait;
+  bool is_waiting = false;
+  while (true) {
+    const MonoTime now = MonoClock::now();
+    if (request.m_quota->HasRoom(now))
+      co_return std::nullopt;
+    if (now >= wait_until || !request.m_quota->MayWait(now))
+      co_return RefuseOverQuota(request);
+    if (!std::exchange(is_waiting, true))
+      request.m_quota->Want();
+    asio::steady_timer timer(co_await asio::this_coro::executor,
+                             forwarder_internal::kTokenCheckInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+// After admission, so that a request that is refused for another reason costs
+// its tenant nothing.
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::SpendQuota(const Request& request) {
+  if (request.m_quota == nullptr || request.m_quota->TrySpend(MonoClock::now()))
+    return std::nullopt;
+  return RefuseOverQuota(request);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+Refusal Forwarder<D, P>::RefuseOverQuota(const Request& request) {
+  m_metrics.m_quota_refused.Add();
+  return {
+      .m_status = forwarder_internal::kTooManyRequests,
+      .m_reason = "the tenant is over its quota",
+      .m_retry_after = request.m_quota->Refuse(m_random(), MonoClock::now())};
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 std::optional<Refusal> Forwarder<D, P>::Admit(net::HttpExchange& exchange,
                                               Request& request) {
@@ -787,6 +850,10 @@
   if (request.m_attempts == 0 && request.m_connect_timeouts > 0 &&
       request::Remaining(request.m_deadline, MonoClock::now()).count() > 0)
     return true;
+  // An earlier attempt may have run, so that this one counts as another request
+  // of the tenant.
+  if (request.m_verdict != Verdict::kNotRun && SpendQuota(request))
+    return false;
   const steering::RetryAnswer answer = steering::DecideRetry(
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
--- a/src/entry/request_metrics.cc
+++ b/src/entry/request_metrics.cc
@@ -24,7 +24,8 @@
   return "unknown";
 }
 
-RequestMetrics::RequestMetrics() {
+RequestMetrics::RequestMetrics()
+    : m_quota_refused(observe::CounterOf(Metric::kQuotaRefused)) {
   for (std::size_t i = 1; i < kAdmissionAnswerCount; ++i) {
     m_admission_refusals[i] = &observe::CounterOf(
         Metric::kRefused,
--- a/src/entry/request_metrics.h
+++ b/src/entry/request_metrics.h
@@ -52,6 +52,8 @@
   void CountRefusal(tenants::AccessAnswer answer);
   void CountDeniedRetry(steering::RetryAnswer answer);
 
+  observe::Counter& m_quota_refused;  // requests over the quota of their tenant
+
  private:
   static constexpr std::size_t kAdmissionAnswerCount =
       static_cast<std::size_t>(steering::AdmissionAnswer::kPriorityTooLow) + 1;
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -15,6 +15,7 @@
 #include "gen/types.h"
 #include "limits/limit_table.h"
 #include "lookup/table.h"
+#include "quotas/quota_table.h"
 #include "steering/route_table.h"
 #include "steering/upstream_view.h"
 #include "tenants/tenant_table.h"
@@ -28,7 +29,9 @@
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
   std::shared_ptr<const steering::RouteTable> m_routes;       // never null
   std::shared_ptr<const tenants::TenantTable> m_tenants;      // never null
-  std::shared_ptr<const limits::LimitTable> m_limits;         // null: no limits
+  // Quotas by index of m_tenants. Null: no quotas.
+  std::shared_ptr<const quotas::QuotaTable> m_quotas;
+  std::shared_ptr<const limits::LimitTable> m_limits;  // null: no limits
   bool m_is_refusing_requests = false;  // planned stop refuses new requests
   // During a planned stop, the time by which admitted requests have to end.
   std::optional<MonoTime> m_requests_end_by;
--- a/src/gen/quotas.h
+++ b/src/gen/quotas.h
@@ -23,8 +23,12 @@
   std::uint64_t m_tenant = 0;  // hash of the name of the tenant
   std::uint32_t m_spent =
       0;  // requests accepted since the start of the process, modulo 2^32
+  std::uint32_t m_limit =
+      0;  // value of `spent` up to which the host may accept requests, modulo
+          // 2^32; a new leader learns from it which requests are still granted
   std::uint32_t m_refused =
-      0;  // requests refused since the start of the process, modulo 2^32
+      0;  // requests that found no token, and waited or were refused, since the
+          // start of the process, modulo 2^32
 
   friend auto operator<=>(const QuotaUse&, const QuotaUse&) = default;
 };
@@ -35,7 +39,8 @@
   std::uint64_t m_incarnation = 0;  // incarnation of its process
   std::uint64_t m_sequence = 0;  // increases with each report of an incarnation
   std::uint64_t m_adopted =
-      0;  // sequence of the last grant that the host adopted
+      0;  // sequence of the last grant of this leader that the host adopted; 0
+          // for none, then `uses` lists all tenants
   std::vector<QuotaUse> m_uses;  // tenants whose use changed since the last
                                  // adopted grant (at most 20000 elements)
 
@@ -55,9 +60,11 @@
 struct QuotaGrant {
   std::uint64_t m_sequence = 0;  // sequence of the report
   std::chrono::milliseconds m_lease{
-      0};  // time after the report was sent for which the shares hold (from 0)
-  std::vector<QuotaShare> m_shares;  // shares that differ from the last adopted
-                                     // grant (at most 20000 elements)
+      0};  // time after the report was sent for which the shares hold; 0 if the
+           // leader does not know `adopted` and needs a complete report (from
+           // 0)
+  std::vector<QuotaShare> m_shares;  // shares that may differ from those of the
+                                     // host (at most 20000 elements)
 
   friend auto operator<=>(const QuotaGrant&, const QuotaGrant&) = default;
 };
--- a/src/gen/quotas_serialize.h
+++ b/src/gen/quotas_serialize.h
@@ -14,7 +14,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, QuotaUse& value) {
-  archive(value.m_tenant, value.m_spent, value.m_refused);
+  archive(value.m_tenant, value.m_spent, value.m_limit, value.m_refused);
 }
 
 template <class Archive>
--- a/src/net/peer_exchange.cc
+++ b/src/net/peer_exchange.cc
@@ -84,6 +84,8 @@
       [this, endpoint](const FrameSource&, const RegistryDelta& delta) {
         OnDeltaFromPeer(endpoint, delta);
       });
+  if (m_options.m_add_handlers)
+    m_options.m_add_handlers(endpoint, &handlers);
   auto client = std::make_unique<FrameClient>(m_io, m_frames, endpoint,
                                               std::move(handlers));
   client->Start();
@@ -190,6 +192,11 @@
   return hosts;
 }
 
+std::uint64_t PeerExchange::PeerIncarnation(const Endpoint& endpoint) const {
+  const auto peer = m_peers.find(endpoint);
+  return peer != m_peers.end() ? peer->second.m_client->PeerIncarnation() : 0;
+}
+
 std::size_t PeerExchange::ConnectedPeerCount() const {
   return static_cast<std::size_t>(std::count_if(
       m_peers.begin(), m_peers.end(),
--- a/src/net/peer_exchange.h
+++ b/src/net/peer_exchange.h
@@ -52,6 +52,9 @@
   // Called after a delta was merged; may be empty. Not called for a delta from
   // an earlier incarnation of its sender, although its entries are merged.
   std::function<void(const RegistryDelta&)> m_on_delta;
+  // Adds handlers of other messages that the peer at the endpoint sends on the
+  // connection to it; may be empty.
+  std::function<void(const Endpoint&, FrameDispatch*)> m_add_handlers;
 };
 
 // Selects the peers of an entry host among the entry hosts of the deployment,
@@ -85,6 +88,16 @@
   // Sends one announcement to all peers, even if it only renews a lease.
   void Relay(const RegistryEntry& entry);
 
+  // Whether there is a connection to a peer, and the incarnation of its process
+  // (0: none).
+  std::uint64_t PeerIncarnation(const Endpoint& endpoint) const;
+  // Sends another message to a peer. Returns false if it cannot be queued.
+  template <class Message>
+  bool Send(const Endpoint& endpoint, const Message& message) {
+    const auto peer = m_peers.find(endpoint);
+    return peer != m_peers.end() && peer->second.m_client->Send(message);
+  }
+
   // Merges a delta that arrived over a connection that the peer opened.
   void OnDelta(const RegistryDelta& delta, MonoTime now);
 
--- a/src/tenants/key_lease.cc
+++ b/src/tenants/key_lease.cc
@@ -15,7 +15,8 @@
   return static_cast<std::uint64_t>(now.time_since_epoch().count());
 }
 
-void KeyLease::OnStatement(const ConfigLease& statement, MonoTime now) {
+std::optional<MonoTime> KeyLease::OnStatement(const ConfigLease& statement,
+                                              MonoTime now) {
   const MonoTime sent_at{MonoClock::duration(
       static_cast<MonoClock::rep>(statement.m_echoed_clock))};
   // A clock that this process cannot have sent, or a negative age, would make
@@ -24,11 +25,13 @@
                             statement.m_age >= std::chrono::milliseconds(0) &&
                             statement.m_age < std::chrono::hours(24);
   if (!is_plausible)
-    return;
+    return std::nullopt;
   MonoTime& confirmed_at = m_pending[statement.m_feed_index];
-  confirmed_at = std::max(confirmed_at, sent_at - statement.m_age);
+  const MonoTime stated_at = sent_at - statement.m_age;
+  confirmed_at = std::max(confirmed_at, stated_at);
   if (m_pending.size() > kMaxPending)
     m_pending.erase(m_pending.begin());
+  return stated_at;
 }
 
 MonoTime KeyLease::EndAt(std::uint64_t feed_index) {
--- a/src/tenants/key_lease.h
+++ b/src/tenants/key_lease.h
@@ -36,7 +36,10 @@
 
   static std::uint64_t ClockOf(MonoTime now);
 
-  void OnStatement(const ConfigLease& statement, MonoTime now);
+  // Returns the point in time, at the earliest; empty for a statement that is
+  // not plausible.
+  std::optional<MonoTime> OnStatement(const ConfigLease& statement,
+                                      MonoTime now);
 
   // End of the lease of a host with this feed index in force; the epoch if it
   // has none.
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -276,6 +276,35 @@
   EXPECT_LT(entry.m_stop_limit.value(), node.m_stop_timeout);
 }
 
+// Guards against quotas that are kept by other bounds than the platform's.
+TEST(NodeSettings, BoundsOfQuotasReachTheControlHosts) {
+  const auto quotas_of = [](const std::string& bounds) {
+    return ToControlSettings(
+               ParseNodeSettings(Replaced(kNode, "\"grace_s\":6", bounds))
+                   .value())
+        .value()
+        .m_quotas;
+  };
+  EXPECT_EQ(quotas_of("\"grace_s\":6"), QuotaSettings{});
+  EXPECT_EQ(quotas_of("\"quota_window_s\":2.5,\"quota_overage\":0.05,"
+                      "\"quota_slack\":7"),
+            (QuotaSettings{.m_window = milliseconds(2500),
+                           .m_overage_permille = 50,
+                           .m_slack = 7}));
+  EXPECT_EQ(quotas_of("\"quota_window_s\":0,\"quota_overage\":9,"
+                      "\"quota_slack\":-1"),
+            (QuotaSettings{.m_window = milliseconds(100),
+                           .m_overage_permille = 1000}));
+}
+
+// Guards against a refusal over a quota without the time to come back.
+TEST(RequestDialect, RefusalOverQuotaStatesWhenToRetry) {
+  const ResponseHead head = RequestDialect::RefusalHead(
+      {.m_status = 429, .m_retry_after = milliseconds(1250)});
+  EXPECT_EQ(head.m_status, 429);
+  EXPECT_EQ(net::FindHeader(head.m_headers, "Retry-After"), "1.250");
+}
+
 // Guards against accepting a malformed value silently.
 TEST(NodeSettings, ErrorsNameTheField) {
   const auto parse_error = [](const std::string& from, const std::string& to) {
