Spend a token for a retry only if it is made

A retry of a request that may have run spent a token of its tenant before the retry budget decided, and counted a refusal if there was none. It now spends the token last.

--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -850,9 +850,11 @@
   if (request.m_attempts == 0 && request.m_connect_timeouts > 0 &&
       request::Remaining(request.m_deadline, MonoClock::now()).count() > 0)
     return true;
-  // An earlier attempt may have run, so that this one counts as another request
-  // of the tenant.
-  if (request.m_verdict != Verdict::kNotRun && SpendQuota(request))
+  // If an earlier attempt may have run, this one counts as another request of
+  // the tenant.
+  quotas::QuotaCell* const quota =
+      request.m_verdict != Verdict::kNotRun ? request.m_quota.get() : nullptr;
+  if (quota != nullptr && !quota->HasRoom(MonoClock::now()))
     return false;
   const steering::RetryAnswer answer = steering::DecideRetry(
       {.m_verdict = request.m_verdict,
@@ -863,7 +865,8 @@
       request.m_service.m_retry_budget_permille, *request.m_retry_budget);
   if (answer != steering::RetryAnswer::kRetry)
     m_metrics.CountDeniedRetry(answer);
-  return answer == steering::RetryAnswer::kRetry;
+  return answer == steering::RetryAnswer::kRetry &&
+         (quota == nullptr || quota->TrySpend(MonoClock::now()));
 }
 
 // ---- Responses -------------------------------------------------------------
