--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -9,6 +9,11 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "entry/attempt_runner_impl.h"
 #include "entry/caller_key.h"
 #include "entry/claim_client.h"
@@ -19,6 +24,7 @@
 #include "limits/topology.h"
 #include "net/http_exchange.h"
 #include "observe/log.h"
+#include "quotas/quota_timing.h"
 #include "request/idempotency_key.h"
 #include "steering/admission.h"
 #include "steering/retry_decision.h"
@@ -50,6 +56,11 @@
 inline constexpr std::size_t kMaxDiscardedUploadBytes = 512U << 10U;
 inline constexpr std::chrono::seconds kMaxDiscardTime{2};
 
+// A request that waits for a token checks at this interval, short compared with
+// the round trip to the leader.
+inline constexpr milliseconds kTokenCheckInterval{10};
+
+inline constexpr std::uint16_t kTooManyRequests = 429;
 inline constexpr std::uint16_t kMinServerError = 500;
 inline constexpr std::uint16_t kRequestTimeout = 408;
 inline constexpr std::uint16_t kServiceUnavailable = 503;
@@ -164,6 +175,7 @@
   Verdict m_verdict = Verdict::kNotRun;  // combined over all attempts
   limits::Permit m_region_permit;
   limits::Permit m_slot_permit;
+  std::shared_ptr<quotas::QuotaCell> m_quota;  // null: no quota
   limits::Permit m_body_permit;  // memory of a large buffered body
   // Error response of an upstream, sent if no later attempt succeeds.
   std::optional<AttemptResult> m_fallback;
@@ -232,10 +244,14 @@
   request.m_is_repeatable = request.m_route.m_idempotency_key.empty();
   SpanScope admission = request.m_span.Child("admission");
   std::optional<Refusal> refusal = CheckAccess(exchange, request);
+  if (!refusal)
+    refusal = co_await AwaitQuota(request);
   if (!refusal)
     refusal = Admit(exchange, request);
   if (!refusal)
     refusal = PreviewRoom(exchange, request);
+  if (!refusal)
+    refusal = SpendQuota(request);
   if (refusal)
     admission.SetFailed();
   admission.End();
@@ -309,7 +325,9 @@
                                               const Request* request,
                                               Refusal refusal) {
   const Route* route = request != nullptr ? &request->m_route : nullptr;
+  // The quota has set a time at which there is room again.
   if (route != nullptr && route->m_time_limit &&
+      refusal.m_status != forwarder_internal::kTooManyRequests &&
       refusal.m_retry_after > std::chrono::milliseconds::zero()) {
     refusal.m_retry_after = ReturnDelayFor(*request);
   }
@@ -362,9 +380,16 @@
       .m_may_be_outdated = MayBeOutdated(),
       .m_lease_end = m_shared.m_key_lease_end.load(std::memory_order_acquire)};
   const rcu::ReadSection section;
+  const ServingView& view = m_shared.m_view.Read(section);
+  request.m_quota.reset();
   const tenants::AccessAnswer answer = CheckTenantAccess(
-      exchange.Head().m_headers, *m_shared.m_view.Read(section).m_tenants,
-      state, request.m_route);
+      exchange.Head().m_headers, *view.m_tenants, state, request.m_route);
+  if (answer == tenants::AccessAnswer::kTenant && view.m_quotas != nullptr) {
+    const auto index = view.m_tenants->FindByKey(
+        ReadCallerKey(exchange.Head().m_headers).m_key);
+    if (index)
+      request.m_quota = view.m_quotas->CellOf(*index);
+  }
   if (!tenants::IsRefused(answer))
     return std::nullopt;
   m_metrics.CountRefusal(answer);
@@ -377,6 +402,47 @@
                                       : milliseconds(0)};
 }
 
+// Only the first answer of a flood: a tenant over its quota causes no other
+// work.
+template <Dialect D, steering::SelectionPolicy P>
+asio::awaitable<std::optional<Refusal>> Forwarder<D, P>::AwaitQuota(
+    const Request& request) {
+  if (request.m_quota == nullptr)
+    co_return std::nullopt;
+  const MonoTime wait_until = request.m_received_at + quotas::kMaxTokenWait;
+  bool is_waiting = false;
+  while (true) {
+    const MonoTime now = MonoClock::now();
+    if (request.m_quota->HasRoom(now))
+      co_return std::nullopt;
+    if (now >= wait_until || !request.m_quota->MayWait(now))
+      co_return RefuseOverQuota(request);
+    if (!std::exchange(is_waiting, true))
+      request.m_quota->Want();
+    asio::steady_timer timer(co_await asio::this_coro::executor,
+                             forwarder_internal::kTokenCheckInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+// After admission, so that a request that is refused for another reason costs
+// its tenant nothing.
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::SpendQuota(const Request& request) {
+  if (request.m_quota == nullptr || request.m_quota->TrySpend(MonoClock::now()))
+    return std::nullopt;
+  return RefuseOverQuota(request);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+Refusal Forwarder<D, P>::RefuseOverQuota(const Request& request) {
+  m_metrics.m_quota_refused.Add();
+  return {
+      .m_status = forwarder_internal::kTooManyRequests,
+      .m_reason = "the tenant is over its quota",
+      .m_retry_after = request.m_quota->Refuse(m_random(), MonoClock::now())};
+}
+
 template <Dialect D, steering::SelectionPolicy P>
 std::optional<Refusal> Forwarder<D, P>::Admit(net::HttpExchange& exchange,
                                               Request& request) {
@@ -932,6 +998,12 @@
   if (request.m_attempts == 0 && request.m_connect_timeouts > 0 &&
       request::Remaining(request.m_deadline, MonoClock::now()).count() > 0)
     return true;
+  // If an earlier attempt may have run, this one counts as another request of
+  // the tenant.
+  quotas::QuotaCell* const quota =
+      request.m_verdict != Verdict::kNotRun ? request.m_quota.get() : nullptr;
+  if (quota != nullptr && !quota->HasRoom(MonoClock::now()))
+    return false;
   const steering::RetryAnswer answer = steering::DecideRetry(
       {.m_verdict = request.m_verdict,
        .m_is_repeatable = request.m_is_repeatable,
@@ -941,7 +1013,8 @@
       request.m_service.m_retry_budget_permille, *request.m_retry_budget);
   if (answer != steering::RetryAnswer::kRetry)
     m_metrics.CountDeniedRetry(answer);
-  return answer == steering::RetryAnswer::kRetry;
+  return answer == steering::RetryAnswer::kRetry &&
+         (quota == nullptr || quota->TrySpend(MonoClock::now()));
 }
 
 // ---- Responses -------------------------------------------------------------
