--- a/src/entry/forwarder_room_impl.h
+++ b/src/entry/forwarder_room_impl.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/hash.h"
 #include "entry/forwarder_impl.h"
 
 namespace jujube::entry {
