--- a/src/overload/response_times.cc
+++ b/src/overload/response_times.cc
@@ -10,7 +10,7 @@
 // The bounds keep some queue, so that slots don't fall idle between two
 // requests, and no more than the work of one other request. A larger maximum
 // made no difference in the model.
-constexpr double kMinBearableQueue = 0.1;
+constexpr double kMinBearableQueue = 0.5;
 constexpr double kMaxBearableQueue = 1;
 
 // Part of the time between the work and the target that the queue may take. The
