--- a/bench/overload_model.h
+++ b/bench/overload_model.h
@@ -242,10 +242,9 @@
          .m_priority = kind.m_priority,
          .m_tenant = request.m_kind * 1000 + request.m_tenant,
          .m_expected_response = host.m_room.ExpectedResponse(kind.m_name),
-         .m_target_at =
-             host.m_room.ExpectedResponse(kind.m_name) < kind.m_target
-                 ? m_now + kind.m_target
-                 : m_now + kind.m_time_limit,
+         .m_target_at = host.m_room.CanMeet(kind.m_name, kind.m_target)
+                            ? m_now + kind.m_target
+                            : m_now + kind.m_time_limit,
          .m_deadline = std::min(m_now + kind.m_time_limit,
                                 request.m_first_at + 3 * kind.m_time_limit),
          .m_is_early_repeat = host.m_repeats.IsEarly(id, m_now)},
--- a/src/entry/forwarder_room_impl.h
+++ b/src/entry/forwarder_room_impl.h
@@ -26,12 +26,12 @@
       service, entry_hosts * m_shared.m_settings.m_worker_threads, now);
   request.m_repeat_key =
       MixHash(Hash64(exchange.RemoteAddress()), Hash64(route.m_target));
-  const std::chrono::nanoseconds expected_response =
-      request.m_room_state->m_room.ExpectedResponse(route.m_rule_name);
-  // A request that would be late without a wait too is held to its deadline
-  // only: a late response is worth more to the caller than none.
+  const auto& room = request.m_room_state->m_room;
+  // A request whose work alone takes longer than its target is held to its
+  // deadline only: a late response is worth more to the caller than none.
   const bool can_be_in_time =
-      route.m_target_latency && expected_response < *route.m_target_latency;
+      route.m_target_latency &&
+      room.CanMeet(route.m_rule_name, *route.m_target_latency);
   request.m_room_request = {
       .m_id = m_rooms.NextId(),
       .m_priority =
@@ -39,7 +39,7 @@
                    overload::kHighestPriority),
       .m_tenant = Hash64(route.m_tenant ? route.m_tenant->m_value
                                         : exchange.RemoteAddress()),
-      .m_expected_response = expected_response,
+      .m_expected_response = room.ExpectedResponse(route.m_rule_name),
       .m_target_at = can_be_in_time ? now + *route.m_target_latency
                                     : request.m_deadline.m_time,
       .m_deadline = request.m_deadline.m_time,
--- a/src/overload/response_times.cc
+++ b/src/overload/response_times.cc
@@ -10,9 +10,13 @@
 // The bounds keep some queue, so that slots don't fall idle between two
 // requests, and no more than the work of one other request. A larger maximum
 // made no difference in the model.
-constexpr double kMinBearableQueue = 0.5;
+constexpr double kMinBearableQueue = 0.1;
 constexpr double kMaxBearableQueue = 1;
 
+// Queue that is borne where the work alone takes longer than the target. The
+// responses are late anyway, and a shorter queue left slots idle.
+constexpr double kLateBearableQueue = 0.5;
+
 // Part of the time between the work and the target that the queue may take. The
 // rest is for work that takes longer than the mean. With the whole time, 0.654
 // of the requests were in time at 1.5 of the room, with half 0.670, with a
@@ -76,12 +80,20 @@
              : m_mean;
 }
 
+bool ResponseTimes::CanMeet(const std::string& route,
+                            std::chrono::nanoseconds target) const {
+  const auto found = m_by_route.find(route);
+  return found == m_by_route.end() || found->second.m_work < target;
+}
+
 double ResponseTimes::BearableQueue(const std::string& route,
                                     std::chrono::nanoseconds target) const {
   const auto found = m_by_route.find(route);
   if (found == m_by_route.end() || found->second.m_work.count() <= 0)
     return kMaxBearableQueue;
   const double work = static_cast<double>(found->second.m_work.count());
+  if (!CanMeet(route, target))
+    return kLateBearableQueue;
   return std::clamp(
       (static_cast<double>(target.count()) / work - 1) * kUsedSlack,
       kMinBearableQueue, kMaxBearableQueue);
--- a/src/overload/response_times.h
+++ b/src/overload/response_times.h
@@ -29,6 +29,9 @@
   std::chrono::nanoseconds Expected(const std::string& route) const;
   std::chrono::nanoseconds Mean() const { return m_mean; }
 
+  // False if the work alone takes as long as the target. True if unknown.
+  bool CanMeet(const std::string& route, std::chrono::nanoseconds target) const;
+
   // Queue at an upstream, in parts of its slots, in which a response of the
   // route still meets the target.
   double BearableQueue(const std::string& route,
--- a/src/overload/service_room.h
+++ b/src/overload/service_room.h
@@ -122,6 +122,10 @@
   std::chrono::nanoseconds ExpectedResponse(const std::string& route) const {
     return m_times.Expected(route);
   }
+  bool CanMeet(const std::string& route,
+               std::chrono::nanoseconds target) const {
+    return m_times.CanMeet(route, target);
+  }
   double Room() const { return m_estimate.Room(); }
   std::uint32_t InProgress() const { return m_in_progress; }
   bool HasWaiting() const { return !m_queue.empty(); }
--- a/tests/unit/overload_room_test.cc
+++ b/tests/unit/overload_room_test.cc
@@ -258,6 +258,20 @@
   EXPECT_FALSE(filter.IsEarly(8, At(50)));
 }
 
+// Guards against slots that stand idle although all responses are late anyway,
+// and against queues in which a response can't meet its target.
+TEST(ResponseTimes, BearableQueueFollowsTheTarget) {
+  ResponseTimes times;
+  EXPECT_TRUE(times.CanMeet("route", milliseconds(1)));
+  times.OnResponse("route", milliseconds(150), {.m_waiting = 4, .m_slots = 8});
+  // The work takes 100 ms.
+  EXPECT_FALSE(times.CanMeet("route", milliseconds(100)));
+  EXPECT_DOUBLE_EQ(times.BearableQueue("route", milliseconds(90)), 0.5);
+  EXPECT_NEAR(times.BearableQueue("route", milliseconds(200)), 0.33, 0.01);
+  EXPECT_DOUBLE_EQ(times.BearableQueue("route", milliseconds(101)), 0.1);
+  EXPECT_DOUBLE_EQ(times.BearableQueue("route", milliseconds(9000)), 1);
+}
+
 // Guards against a mean that misses the requests that were given up.
 TEST(ResponseTimes, GivenUpRequestsAreALowerBound) {
   ResponseTimes times;
