--- a/bench/tenant_bench.cc
+++ b/bench/tenant_bench.cc
@@ -49,7 +49,7 @@
 
 // Each iteration looks up another key, so that the table is not read from the
 // nearest cache only.
-void BM_FindByKey(benchmark::State& state) {
+void FindKey(benchmark::State& state) {
   const auto count = static_cast<std::size_t>(state.range(0));
   const TenantTable table(MakeTenants(count));
   std::vector<std::string> keys;
@@ -61,18 +61,18 @@
     next = next + 1 == count ? 0 : next + 1;
   }
 }
-BENCHMARK(BM_FindByKey)->Arg(kKeysToday)->Arg(kMaxKeys);
+BENCHMARK(FindKey)->Arg(kKeysToday)->Arg(kMaxKeys);
 
-void BM_FindUnknownKey(benchmark::State& state) {
+void FindUnknownKey(benchmark::State& state) {
   const TenantTable table(
       MakeTenants(static_cast<std::size_t>(state.range(0))));
   for (auto _ : state)
     benchmark::DoNotOptimize(table.FindByKey("key-of-a-tenant-none"));
 }
-BENCHMARK(BM_FindUnknownKey)->Arg(kKeysToday)->Arg(kMaxKeys);
+BENCHMARK(FindUnknownKey)->Arg(kKeysToday)->Arg(kMaxKeys);
 
 // The table is built only when the tenants of a document have changed.
-void BM_BuildTable(benchmark::State& state) {
+void BuildTable(benchmark::State& state) {
   const std::vector<Tenant> tenants =
       MakeTenants(static_cast<std::size_t>(state.range(0)));
   for (auto _ : state) {
@@ -80,7 +80,7 @@
     benchmark::DoNotOptimize(table.FindByKey("key"));
   }
 }
-BENCHMARK(BM_BuildTable)
+BENCHMARK(BuildTable)
     ->Arg(kKeysToday)
     ->Arg(kMaxKeys)
     ->Unit(benchmark::kMicrosecond);
@@ -89,7 +89,7 @@
 // arrival and before the attempt), the fields for the upstream, and the check
 // before the first byte is sent. Arguments: number of keys of the document (0:
 // no tenants), and number of different requests.
-void BM_RequestPath(benchmark::State& state) {
+void RequestPath(benchmark::State& state) {
   const rcu::ThreadRegistration registration;
   const auto key_count = static_cast<std::size_t>(state.range(0));
   const auto request_count = static_cast<std::size_t>(state.range(1));
@@ -125,7 +125,7 @@
     benchmark::DoNotOptimize(lease.IsValid());
   }
 }
-BENCHMARK(BM_RequestPath)
+BENCHMARK(RequestPath)
     ->Args({0, kKeysToday})
     ->Args({kKeysToday, kKeysToday})
     ->Args({0, kMaxKeys})
--- a/tests/process/ctl_test.cc
+++ b/tests/process/ctl_test.cc
@@ -68,6 +68,56 @@
             std::string::npos);
 }
 
+// Guards against keys of tenants in the output or the logs: only "config"
+// prints them, since its output is the document that an operator edits.
+TEST_F(CtlTest, KeysOfTenantsAreNotPrinted) {
+  const auto write = [&](int number, const std::string& keys) {
+    std::string text = ReadText(WriteDocument(number));
+    std::string tenants = "\"tenants\":[{\"name\":\"ferry\",\"keys\":";
+    tenants += keys + "}],";
+    text.insert(text.find('{') + 1, tenants);
+    const std::string path = Path("tenants-" + std::to_string(number));
+    WriteText(path, text);
+    return path;
+  };
+  const std::string first = write(1, R"(["secret-1","secret-2"])");
+  const std::string second = write(2, R"(["secret-2","secret-3"])");
+  std::string output;
+  const auto run = [&](const std::vector<std::string>& arguments) {
+    const ProgramResult result = RunCtl(arguments);
+    output += result.m_out + result.m_error;
+    return result;
+  };
+  EXPECT_EQ(run({"validate", first}).m_exit_code, kDone);
+  EXPECT_EQ(run({"validate", write(3, R"("secret-4")")}).m_exit_code,
+            kBadInput);
+  EXPECT_EQ(
+      run({"validate", write(4, R"(["secret-4","secret-4"])")}).m_exit_code,
+      kBadInput);
+  EXPECT_EQ(run({"apply", first}).m_exit_code, kDone);
+  EXPECT_NE(run({"diff", second})
+                .m_out.find("tenant \"ferry\" keys: 1 added, 1 removed"),
+            std::string::npos)
+      << output;
+  run({"--json", "diff", second});
+  EXPECT_EQ(run({"apply", second}).m_exit_code, kDone);
+  EXPECT_EQ(run({"apply", write(1, R"(["secret-5"])")}).m_exit_code, kConflict);
+  run({"status"});
+  run({"--json", "status"});
+  run({"history"});
+  run({"--json", "history"});
+  EXPECT_EQ(output.find("secret"), std::string::npos) << output;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    const std::string log =
+        ReadText(Path("control-" + std::to_string(i) + ".log"));
+    EXPECT_EQ(log.find("secret"), std::string::npos) << log;
+  }
+  const std::string config = RunCtl({"config"}).m_out;
+  EXPECT_NE(config.find("secret-3"), std::string::npos) << config;
+  WriteText(Path("copy.json"), config);
+  EXPECT_EQ(run({"apply", Path("copy.json")}).m_exit_code, kDone);
+}
+
 // Guards against a drain of an unknown name that is accepted, and against a
 // status that omits a drain or shows it after it was resumed.
 TEST_F(CtlTest, DrainsShowInStatusUntilResumed) {
--- a/tests/process/tenant_test.cc
+++ b/tests/process/tenant_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -160,8 +161,10 @@
 TEST_F(TenantTest, AFrozenHostUsesNoTakenKey) {
   for (int round = 0; round < 3; ++round) {
     const std::string path = "/frozen-" + std::to_string(round);
+    constexpr std::size_t kConnections = 4;
     std::vector<RawSocket> connections;
-    for (int i = 0; i < 4; ++i) {
+    connections.reserve(kConnections);
+    for (std::size_t i = 0; i < kConnections; ++i) {
       connections.push_back(
           RawSocket::Connect(m_system.SettingsOfEntry(0).m_caller));
     }
--- a/tests/unit/tenants_header_test.cc
+++ b/tests/unit/tenants_header_test.cc
@@ -13,19 +13,21 @@
 
 using std::chrono::milliseconds;
 
-const std::vector<Header> kCallerHeaders = {{"Host", "a.example"},
-                                            {"Authorization", "Bearer k-17"},
-                                            {"AUTHORIZATION", "Bearer k-18"},
-                                            {"Jujube-Tenant", "forged"},
-                                            {"jujube-tenant", "forged"},
-                                            {"JUJUBE-TENANT", "forged"},
-                                            {"Jujube-Tenant", ""},
-                                            {"X-Other", "kept"}};
+std::vector<Header> CallerHeaders() {
+  return {{"Host", "a.example"},
+          {"Authorization", "Bearer k-17"},
+          {"AUTHORIZATION", "Bearer k-18"},
+          {"Jujube-Tenant", "forged"},
+          {"jujube-tenant", "forged"},
+          {"JUJUBE-TENANT", "forged"},
+          {"Jujube-Tenant", ""},
+          {"X-Other", "kept"}};
+}
 
 std::vector<Header> UpstreamHeaders(const Route& route) {
   const steering::Selection selection{};
   return NativeDialect::UpstreamHead(
-             {.m_method = "GET", .m_headers = kCallerHeaders}, route,
+             {.m_method = "GET", .m_headers = CallerHeaders()}, route,
              milliseconds(900), "", selection)
       .m_headers;
 }
--- a/tests/unit/tenants_request_test.cc
+++ b/tests/unit/tenants_request_test.cc
@@ -19,7 +19,9 @@
 using tenants::AccessAnswer;
 using tenants::TenantTable;
 
-const std::vector<Header> kHeaders = {{"Authorization", "Bearer k-1"}};
+std::vector<Header> KeyField() {
+  return {{"Authorization", "Bearer k-1"}};
+}
 
 // A lease that has not run out.
 AccessState ValidState() {
@@ -45,7 +47,7 @@
   tenant.m_allowed_regions = {{"a"}};
   Route route{.m_rule_priority = 3, .m_rule_regions = {{"a"}, {"b"}}};
   ASSERT_EQ(
-      CheckTenantAccess(kHeaders, TenantTable({tenant}), ValidState(), route),
+      CheckTenantAccess(KeyField(), TenantTable({tenant}), ValidState(), route),
       AccessAnswer::kTenant);
   EXPECT_EQ(route.m_tenant, TenantId{"ferry"});
   EXPECT_EQ(route.m_priority, 7);
@@ -53,11 +55,11 @@
   tenant.m_priority.reset();
   tenant.m_allowed_regions = {{"b"}};
   ASSERT_EQ(
-      CheckTenantAccess(kHeaders, TenantTable({tenant}), ValidState(), route),
+      CheckTenantAccess(KeyField(), TenantTable({tenant}), ValidState(), route),
       AccessAnswer::kTenant);
   EXPECT_EQ(route.m_priority, 3);
   EXPECT_EQ(route.m_allowed_regions, (std::vector<RegionId>{{"b"}}));
-  ASSERT_EQ(CheckTenantAccess(kHeaders, TenantTable(), ValidState(), route),
+  ASSERT_EQ(CheckTenantAccess(KeyField(), TenantTable(), ValidState(), route),
             AccessAnswer::kOpen);
   EXPECT_FALSE(route.m_has_tenants);
   EXPECT_EQ(route.m_tenant, std::nullopt);
@@ -72,10 +74,10 @@
   tenant.m_allowed_regions = {{"b"}};
   const TenantTable table({tenant});
   Route route{.m_rule_regions = {{"a"}}};
-  EXPECT_EQ(CheckTenantAccess(kHeaders, table, ValidState(), route),
+  EXPECT_EQ(CheckTenantAccess(KeyField(), table, ValidState(), route),
             AccessAnswer::kNoRegion);
   EXPECT_EQ(route.m_tenant, TenantId{"ferry"});
-  EXPECT_EQ(CheckTenantAccess(kHeaders, table,
+  EXPECT_EQ(CheckTenantAccess(KeyField(), table,
                               {.m_lease_end = MonoClock::now()}, route),
             AccessAnswer::kLeaseExpired);
   EXPECT_EQ(route.m_tenant, TenantId{"ferry"});
--- a/tests/unit/tenants_table_test.cc
+++ b/tests/unit/tenants_table_test.cc
@@ -55,6 +55,7 @@
 
 std::vector<RegionId> Regions(const std::vector<std::string>& names) {
   std::vector<RegionId> regions;
+  regions.reserve(names.size());
   for (const std::string& name : names)
     regions.push_back({name});
   return regions;
