Spread the Retry-After of refusals because of keys

A refusal at arrival preceded the deadline of the request, so its Retry-After was computed from no remaining time: 0.050 s for each caller, instead of up to a third of the time that it has left.

DiscoveryTest.WithoutControlHostsOnlyKeysAreRefused failed with 0.05 and passes.

--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -204,6 +204,10 @@
   // The policy of the service is not known yet, so a request with an
   // Idempotency-Key may have run through another host.
   request.m_is_repeatable = request.m_route.m_idempotency_key.empty();
+  // For the Retry-After of a refusal; Admit() sets the final deadline.
+  request.m_deadline = request::StartDeadline(
+      request.m_received_at, request.m_route.m_caller_time_limit,
+      request.m_route.m_time_limit.value_or(milliseconds(0)));
   SpanScope admission = request.m_span.Child("admission");
   std::optional<Refusal> refusal = CheckAccess(exchange, request);
   if (!refusal)
--- a/tests/process/discovery_test.cc
+++ b/tests/process/discovery_test.cc
@@ -650,6 +650,14 @@
   const int earlier_requests = upstream.Requests();
   EXPECT_EQ(status_of("/q/1", key), 503);
   EXPECT_EQ(status_of("/p/1", key), 503);
+  // Spread over a third of the time that the caller has left.
+  const std::string refusal =
+      Call(entry, "GET /q/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n" + key)
+          .m_text;
+  const std::string field = "Retry-After: ";
+  ASSERT_NE(refusal.find(field), std::string::npos) << refusal;
+  EXPECT_GE(std::stod(refusal.substr(refusal.find(field) + field.size())), 0.3)
+      << refusal;
   EXPECT_EQ(upstream.Requests(), earlier_requests);
   EXPECT_EQ(status_of("/p/1", ""), 200);
   for (std::size_t host = 0; host < 3; ++host)
