--- a/bench/host_link_bench.cc
+++ b/bench/host_link_bench.cc
@@ -97,7 +97,7 @@
 }
 
 template <class Way>
-void BM_HostLink(benchmark::State& state) {
+void RunHostLink(benchmark::State& state) {
   const double bodies_per_second = static_cast<double>(state.range(0)) / 100;
   std::vector<double> small_waits;
   std::vector<double> body_times;
@@ -173,11 +173,11 @@
 
 // Bodies per 100 s: an ordinary second, and floods that take 0.46, 0.69 and
 // 0.83 of the link.
-BENCHMARK(BM_HostLink<AtOnce>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
-BENCHMARK(BM_HostLink<Bucket>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
-BENCHMARK(BM_HostLink<InTurn>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
+BENCHMARK(RunHostLink<AtOnce>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
+BENCHMARK(RunHostLink<Bucket>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
+BENCHMARK(RunHostLink<InTurn>)->Arg(125)->Arg(250)->Arg(375)->Arg(450);
 
-void BM_Reserve(benchmark::State& state) {
+void RunReserve(benchmark::State& state) {
   HostLink link(kRateKbit);
   MonoTime now = kStart;
   for (auto _ : state) {
@@ -185,7 +185,7 @@
     benchmark::DoNotOptimize(link.Reserve(LinkSide::kOut, kChunkBytes, now));
   }
 }
-BENCHMARK(BM_Reserve);
+BENCHMARK(RunReserve);
 
 }  // namespace
 }  // namespace jujube::limits
--- a/tests/unit/entry_link_host_link_test.cc
+++ b/tests/unit/entry_link_host_link_test.cc
@@ -106,7 +106,9 @@
   HostLink link(kNarrow);
   constexpr int kPerThread = 1000;
   std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
+  constexpr int kThreads = 4;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       for (int j = 0; j < kPerThread; ++j)
         (void)link.Reserve(LinkSide::kOut, 1000, kStart);
@@ -115,7 +117,7 @@
   for (std::thread& thread : threads)
     thread.join();
   HostLink one_thread(kNarrow);
-  for (int i = 0; i < 4 * kPerThread; ++i)
+  for (int i = 0; i < kThreads * kPerThread; ++i)
     (void)one_thread.Reserve(LinkSide::kOut, 1000, kStart);
   EXPECT_EQ(link.Backlog(LinkSide::kOut, kStart),
             one_thread.Backlog(LinkSide::kOut, kStart));
