--- a/src/entry/entry_control_limits.cc
+++ b/src/entry/entry_control_limits.cc
@@ -16,6 +16,7 @@
 #include "observe/metrics.h"
 #include "quotas/quota_timing.h"
 #include "steering/affinity_policy.h"
+#include "steering/candidate_collector.h"
 
 namespace jujube::entry {
 
