Wait for the end of the lease before a host is reconnected

Statements that were held up by the partition may renew the lease within the promised time, counted from the acknowledgement, when they arrive. The time of that request was not recorded.

--- a/tests/process/tenant_test.cc
+++ b/tests/process/tenant_test.cc
@@ -146,6 +146,9 @@
   EXPECT_EQ(m_system.RunCount("/after"), 0U);
   EXPECT_EQ(Get(1, kKeptKey).m_status, 200);
   WaitUntilUnknown(1, kTakenKey);
+  // Statements that were held up may renew the lease up to this time.
+  RequestSystem::WaitUntil(
+      [&] { return MonoClock::now() >= m_acknowledged_at + kLease; });
   m_system.Reconnect(0);
   RequestSystem::WaitUntil([&] {
     EXPECT_NE(Get(0, kTakenKey).m_status, 200);
