--- a/tests/process/ctl_test.cc
+++ b/tests/process/ctl_test.cc
@@ -76,7 +76,7 @@
     std::string tenants = "\"tenants\":[{\"name\":\"ferry\",\"keys\":";
     tenants += keys + "}],";
     text.insert(text.find('{') + 1, tenants);
-    const std::string path = Path("tenants-" + std::to_string(number));
+    std::string path = Path("tenants-" + std::to_string(number));
     WriteText(path, text);
     return path;
   };
@@ -84,7 +84,7 @@
   const std::string second = write(2, R"(["secret-2","secret-3"])");
   std::string output;
   const auto run = [&](const std::vector<std::string>& arguments) {
-    const ProgramResult result = RunCtl(arguments);
+    ProgramResult result = RunCtl(arguments);
     output += result.m_out + result.m_error;
     return result;
   };
