--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -6,10 +6,10 @@
 #include <cstdio>
 #include <string>
 
-#include "bench/overload_model.h"
 #include "overload/queue_at_upstream.h"
 #include "overload/refuse_at_once.h"
 #include "overload/wait_by_rank.h"
+#include "overload_model.h"
 
 namespace jujube::bench {
 namespace {
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -23,8 +23,8 @@
 namespace jujube::entry {
 
 struct ServingView {
-  std::uint64_t m_index = 0;  // feed index of the configuration
-  RegionId m_region;          // region of this host
+  std::uint64_t m_index = 0;      // feed index of the configuration
+  RegionId m_region;              // region of this host
   std::size_t m_entry_hosts = 1;  // hosts that send requests to the upstreams
   std::shared_ptr<const lookup::Table> m_lookup;              // never null
   std::shared_ptr<const steering::UpstreamView> m_upstreams;  // never null
