Keep one copy of an object in a region; let reports only deter

Objects of a region have one order, by slots. Only a wait known to be longer than usual counts against an instance, strangers are compared only if the first three are full, and an instance after the first is never preferred to it. A request is rejected by known waits only.

--- a/bench/steering_model.h
+++ b/bench/steering_model.h
@@ -192,18 +192,18 @@
         factor * static_cast<double>(nanoseconds(work.m_work).count())));
   }
 
-  // An object of the zone of the host.
+  // An object of the region of the host.
   std::uint64_t DrawObject(std::size_t host) {
     if (!HasObjects())
       return 0;
-    const std::size_t zones = ZoneCount();
-    const std::size_t of_zone =
-        static_cast<std::size_t>(m_parameters.m_work.m_objects) / zones;
+    const auto& zones = m_deployment.m_availability_zones;
+    const std::string& region = zones[host % zones.size()].m_region.m_value;
+    const std::size_t of_region =
+        static_cast<std::size_t>(m_parameters.m_work.m_objects) /
+        m_deployment.m_regions.size();
     const auto number =
-        static_cast<std::uint64_t>(Uniform() * static_cast<double>(of_zone));
-    return Hash64(std::to_string(number * zones + host % zones),
-                  m_parameters.m_seed) |
-           1U;
+        static_cast<std::uint64_t>(Uniform() * static_cast<double>(of_region));
+    return Hash64(region + std::to_string(number), m_parameters.m_seed) | 1U;
   }
 
   bool IsLost(const Instance& instance) const {
--- a/src/steering/acquaintance.h
+++ b/src/steering/acquaintance.h
@@ -9,10 +9,11 @@
 namespace jujube::steering {
 
 enum class Acquaintance : std::uint8_t {
-  kRemembered,  // this host got a response about the object from it lately
-  kPreferred,   // first in the order of the object, which all hosts share
+  kRemembered,  // first, and it answered this host about the object lately
+  kPreferred,   // first in the order of the object, which the hosts of a
+                // region share, or another that answered about it lately
   kSecond,      // second or third in that order
-  kStranger,    // any other, or one that has just started
+  kStranger,    // any other
 };
 
 inline constexpr std::size_t kAcquaintanceCount =
--- a/src/steering/cost_policy.cc
+++ b/src/steering/cost_policy.cc
@@ -64,7 +64,9 @@
 // Work that requests of others have to wait for counts as well, the more the
 // longer the queues are.
 double PressureOf(const WorkEstimator& work) {
-  return std::min(1.0, work.MeanQueuePermille() / kPermille);
+  constexpr double kMaxPressure = 2;
+  return std::min(kMaxPressure,
+                  kMaxPressure * work.MeanQueuePermille() / kPermille);
 }
 
 }  // namespace
@@ -81,13 +83,15 @@
   const WorkEstimator& work = *service.m_work;
   WorkForecast& forecast = option.m_forecast;
   forecast.m_placement = PlacementOf(upstream, context.m_object);
-  constexpr std::uint32_t kFullPermille = 1000;
-  const bool has_just_started =
-      candidate.m_is_cold || candidate.m_ramp_permille < kFullPermille;
-  if (work.Placements().Contains(forecast.m_placement, context.m_now))
-    forecast.m_acquaintance = Acquaintance::kRemembered;
-  else if (has_just_started)
-    forecast.m_acquaintance = Acquaintance::kStranger;
+  // An instance after the first counts as much as the first at most. Otherwise
+  // a host that left the first one once would stay away from it, and the object
+  // would be kept by several instances for different hosts.
+  if (work.Placements().Contains(forecast.m_placement, context.m_now)) {
+    forecast.m_acquaintance =
+        forecast.m_acquaintance == Acquaintance::kPreferred
+            ? Acquaintance::kRemembered
+            : Acquaintance::kPreferred;
+  }
   forecast.m_slots = std::max(candidate.m_slots, 1U);
   forecast.m_work = work.ExpectedWork(context.m_route, forecast.m_acquaintance,
                                       context.m_now);
@@ -105,7 +109,12 @@
   const Cost& cost = forecast.m_cost;
   option.m_rank =
       static_cast<double>((cost.m_work + cost.m_rest).count()) +
-      static_cast<double>(cost.m_wait.count()) * DrawWaitWeight(random) +
+      // Only what is known of this instance is weighted: a random weight of the
+      // common part would send requests away from the objects' instances.
+      static_cast<double>(
+          (std::max(cost.m_wait - cost.m_usual_wait, microseconds(0)))
+              .count()) *
+          DrawWaitWeight(random) +
       static_cast<double>(forecast.m_work.count()) * PressureOf(work);
   if (!best.m_is_found || option.m_rank < best.m_option.m_rank)
     best = {.m_is_found = true, .m_option = option};
@@ -130,9 +139,7 @@
                                                       : Acquaintance::kSecond}},
              random, best);
   }
-  const bool is_waited_for =
-      !best.m_is_found ||
-      best.m_option.m_forecast.m_cost.m_wait > microseconds(0);
+  const bool is_waited_for = !best.m_is_found;
   for (std::size_t i = 0; is_waited_for && i < kOtherCount; ++i) {
     const std::size_t position =
         random.UniformBelow(static_cast<std::uint32_t>(candidates.size()));
@@ -143,8 +150,13 @@
   }
   if (!best.m_is_found)
     return {.m_position = candidates.size()};
+  // The usual wait of the service is left out: a late response is worth more
+  // than a refusal, and it may be over sooner.
+  const Cost& cost = best.m_option.m_forecast.m_cost;
+  const auto known_wait =
+      std::max(cost.m_wait - cost.m_usual_wait, microseconds(0));
   const CostAnswer answer =
-      DecideByCost({.m_expected = best.m_option.m_forecast.m_cost.Total(),
+      DecideByCost({.m_expected = known_wait + cost.m_work + cost.m_rest,
                     .m_remaining = context.m_remaining,
                     .m_draw = random.UniformBelow(kTriedRequestDivisor)});
   if (answer == CostAnswer::kExpectedLate)
--- a/src/steering/cost_policy.h
+++ b/src/steering/cost_policy.h
@@ -7,10 +7,16 @@
 //
 // The first kPreferredCount instances in the rendezvous order of the object are
 // compared by EstimateCost. The order makes an instance cheap for the objects
-// that it knows, so affinity is part of the cost. If the best of them is full
-// or has to be waited for, kOtherCount instances drawn at random are compared
-// as well, as strangers to the object. The draw and the random weight of the
-// waits keep hosts with the same view from choosing the same instance.
+// that it knows, so affinity is part of the cost. If all of them are full,
+// kOtherCount instances drawn at random are compared, as strangers to the
+// object. The draw and a random weight of the waits keep hosts with the same
+// view from choosing the same instance.
+//
+// A report makes an instance look worse than the mean of the service, never
+// better: an instance that states to be idle attracts no requests, and requests
+// leave the instance that knows their object only for a queue known to be long.
+// The work that a request adds counts more the longer the queues of the service
+// are, because others wait for it.
 //
 // A request without an object goes to the least utilized instance of the
 // nearest tier, as with AffinityPolicy.
--- a/src/steering/expected_cost.cc
+++ b/src/steering/expected_cost.cc
@@ -73,6 +73,8 @@
       std::min<std::int64_t>(inputs.m_failure_permille, kPermille) / kPermille;
   return {
       .m_wait = inputs.m_mean_work * queue / kPermille * work_time / kPermille,
+      .m_usual_wait = inputs.m_mean_work * inputs.m_mean_queue_permille /
+                      kPermille * inputs.m_mean_work_time_permille / kPermille,
       .m_work = inputs.m_work * work_time / kPermille,
       .m_rest = inputs.m_round_trip + repeated};
 }
--- a/src/steering/expected_cost.h
+++ b/src/steering/expected_cost.h
@@ -27,6 +27,9 @@
 
 struct Cost {
   std::chrono::microseconds m_wait{0};  // in the queue of the instance
+  // Part of the wait that the mean of the service explains, so that it says
+  // nothing about this instance.
+  std::chrono::microseconds m_usual_wait{0};
   std::chrono::microseconds m_work{0};  // on its machine as it is now
   std::chrono::microseconds m_rest{0};  // network and repeated failures
 
--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -114,8 +114,9 @@
     upstream.m_object_weight = ObjectWeight(upstream.m_tier, zone_slots);
 }
 
-// Distributes the objects of this host's region by the plan for regions. Within
-// the region, zones keep their objects as without a plan.
+// Distributes the objects of this host's region by the plan for regions, and
+// within each region by slots. All hosts of a region have the same order then:
+// an object that is known to an instance for one of them is known for all.
 void SetPlannedObjectWeights(const ViewInputs& inputs,
                              ServiceUpstreams& service) {
   const auto& zones = inputs.m_deployment.m_availability_zones;
@@ -129,13 +130,11 @@
     if (hosts != inputs.m_entry_hosts_by_zone->end())
       capacity_by_region[zone.m_region].m_entry_hosts += hosts->second;
   }
-  std::map<RegionId, double> weight_by_region;
   for (const Upstream& upstream : service.m_upstreams) {
     if (upstream.m_is_draining)
       continue;
     capacity_by_region[upstream.m_region].m_slots +=
         upstream.m_member.m_announcement.m_slots;
-    weight_by_region[upstream.m_region] += upstream.m_object_weight;
   }
   std::vector<RegionId> regions;
   std::vector<RegionCapacity> capacities;
@@ -155,9 +154,11 @@
     // region can take the request.
     const double share =
         std::max(share_by_region[upstream.m_region], kMinRegionShare);
-    const double weight = weight_by_region[upstream.m_region];
-    if (weight > 0)
-      upstream.m_object_weight *= share / weight;
+    const std::uint32_t region_slots =
+        capacity_by_region[upstream.m_region].m_slots;
+    if (region_slots > 0)
+      upstream.m_object_weight =
+          share * upstream.m_member.m_announcement.m_slots / region_slots;
   }
 }
 
