--- a/src/steering/upstream_view.cc
+++ b/src/steering/upstream_view.cc
@@ -114,9 +114,9 @@
     upstream.m_object_weight = ObjectWeight(upstream.m_tier, zone_slots);
 }
 
-// Distributes the objects of this host's region by the plan for regions. Within
-// a region, instances take objects by their slots: a preference for the own
-// zone would have each zone warm up instances of its own for the same objects.
+// Distributes the objects of this host's region by the plan for regions, and
+// within each region by slots. All hosts of a region have the same order then:
+// an object that is known to an instance for one of them is known for all.
 void SetPlannedObjectWeights(const ViewInputs& inputs,
                              ServiceUpstreams& service) {
   const auto& zones = inputs.m_deployment.m_availability_zones;
@@ -154,11 +154,11 @@
     // region can take the request.
     const double share =
         std::max(share_by_region[upstream.m_region], kMinRegionShare);
-    const std::uint32_t slots = capacity_by_region[upstream.m_region].m_slots;
-    if (slots > 0) {
+    const std::uint32_t region_slots =
+        capacity_by_region[upstream.m_region].m_slots;
+    if (region_slots > 0)
       upstream.m_object_weight =
-          share * upstream.m_member.m_announcement.m_slots / slots;
-    }
+          share * upstream.m_member.m_announcement.m_slots / region_slots;
   }
 }
 
--- a/tests/process/upload_attempt_test.cc
+++ b/tests/process/upload_attempt_test.cc
@@ -105,7 +105,7 @@
         .m_endpoint = m_upstream,
         .m_slot = steering::SlotGuard(std::move(counters))};
     const entry::LinkPacer pacer(m_view, {"region-a"}, {"region-a"});
-    const entry::SendLease lease(m_lease_end, false);
+    const entry::SendLease lease(m_view, m_lease_end, {}, std::nullopt);
     const entry::SpanScope span;
     AttemptRunner<NativeDialect> runner(
         exchange, m_pool, m_watch, pacer, m_link, lease, m_route,
