Keep the timeout of a written response from the next read of its connection

While a response is written, the timeout of the stream also applies to a read that begins meanwhile, and is not taken off it when the write ends: the connection was closed 0.5 s later, with the requests that it had read.

HttpListenerOverlap.TimeoutOfAWriteDoesNotEndTheNextRead failed without the change and passes.

--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -489,6 +489,9 @@
   state.m_parser.header_limit(
       static_cast<std::uint32_t>(m_options.m_max_header_bytes));
   state.m_parser.body_limit(boost::none);
+  // A response that is being written has set a timeout for reads as well, if
+  // none was in progress then.
+  connection.m_stream.expires_never();
   auto [error, count] = co_await http::async_read_header(
       connection.m_stream, connection.m_buffer, state.m_parser, kTuple);
   connection.m_idle_timer.cancel();
--- a/tests/unit/net_http_listener_test.cc
+++ b/tests/unit/net_http_listener_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
 #include <boost/asio/as_tuple.hpp>
@@ -95,6 +96,12 @@
 
   asio::awaitable<void> Handle(HttpExchange& exchange) {
     const std::string target = exchange.Head().m_target;
+    if (target == "/now") {
+      exchange.SetResponseDeadline(MonoClock::now());
+      ResponseHead head{.m_status = 200};
+      co_await exchange.Respond(std::move(head), target);
+      co_return;
+    }
     Request& request = m_requests[target];
     exchange.Watch([&request] { request.m_is_caller_gone = true; });
     if (!m_wake) {
@@ -122,9 +129,13 @@
   explicit Caller(const ManualServer& server) {
     m_socket.connect(server.Address());
   }
-  void Send(const std::string& method, const std::string& target) {
-    asio::write(m_socket, asio::buffer(method + " " + target +
-                                       " HTTP/1.1\r\nHost: a\r\n\r\n"));
+  // `further` is sent with the request, in one write.
+  void Send(const std::string& method,
+            const std::string& target,
+            const std::string& further = "") {
+    asio::write(m_socket,
+                asio::buffer(method + " " + target +
+                             " HTTP/1.1\r\nHost: a\r\n\r\n" + further));
   }
   // Returns the body of the next response, or "closed".
   std::string Read() {
@@ -198,6 +209,19 @@
   EXPECT_EQ(caller.Read(), "/2");
 }
 
+// Guards against the timeout of a written response that closes the connection
+// while it is read on and a later request is in progress.
+TEST(HttpListenerOverlap, TimeoutOfAWriteDoesNotEndTheNextRead) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/now", "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(caller.Read(), "/now");
+  server.WaitUntilStarted("/1");
+  std::this_thread::sleep_for(kMinWriteTime + std::chrono::milliseconds(100));
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+}
+
 // Guards against more requests in progress than allowed for a connection.
 TEST(HttpListenerOverlap, NumberOfOverlappingRequestsIsLimited) {
   ManualServer server(2);
