--- a/src/steering/admission.h
+++ b/src/steering/admission.h
@@ -7,8 +7,8 @@
 //     ...503 with Jujube-Verdict: not-run and RetryAfter(answer)
 //
 // A request is refused before any byte of it leaves this host, so the verdict
-// of a refusal is always not-run. Requests are not queued here: a caller that is
-// refused immediately can still try another entry host before its deadline.
+// of a refusal is always not-run. Requests are not queued here: a caller that
+// is refused immediately can still try another entry host before its deadline.
 // src/overload decides who waits for room.
 
 #pragma once
