--- a/tests/unit/steering_cost_policy_test.cc
+++ b/tests/unit/steering_cost_policy_test.cc
@@ -22,7 +22,7 @@
 constexpr int kInstances = 12;
 
 // A view that selects by cost, of instances of three slots in one zone.
-UpstreamView CostView(CounterTable& counters, Deployment deployment) {
+UpstreamView CostView(CounterTable& counters, const Deployment& deployment) {
   membership::RegistrySnapshot registry{.m_version = 1};
   for (int i = 0; i < kInstances; ++i)
     registry.m_members.push_back(
--- a/tests/unit/steering_cost_region_test.cc
+++ b/tests/unit/steering_cost_region_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <map>
 #include <numeric>
 #include <string>
@@ -16,7 +18,8 @@
 
 // A third of the demand starts in the last region, which has a tenth of the
 // slots.
-const std::vector<RegionCapacity> kUneven = {{432, 36}, {516, 38}, {108, 35}};
+constexpr std::array<RegionCapacity, 3> kUneven = {
+    {{432, 36}, {516, 38}, {108, 35}}};
 
 // Load pattern: uneven regions. Guards against a region that is sent more than
 // its part of all slots, summed over the callers of all regions.
