--- a/bench/quotas_bench.cc
+++ b/bench/quotas_bench.cc
@@ -19,7 +19,7 @@
   return lease;
 }
 
-void BM_Admit(benchmark::State& state) {
+void BmAdmit(benchmark::State& state) {
   static QuotaCell cell(EndlessLease());
   for (auto _ : state) {
     if (state.thread_index() == 0)
@@ -28,9 +28,9 @@
                              cell.TrySpend(MonoClock::now()));
   }
 }
-BENCHMARK(BM_Admit)->Threads(1)->Threads(4);
+BENCHMARK(BmAdmit)->Threads(1)->Threads(4);
 
-void BM_Refuse(benchmark::State& state) {
+void BmRefuse(benchmark::State& state) {
   static QuotaCell cell(EndlessLease());
   for (auto _ : state) {
     const MonoTime now = MonoClock::now();
@@ -40,10 +40,10 @@
       cell.Refuse(1, now);
   }
 }
-BENCHMARK(BM_Refuse);
+BENCHMARK(BmRefuse);
 
 // A report in which a quarter of the tenants was used, of one of `hosts`.
-void BM_Report(benchmark::State& state) {
+void BmReport(benchmark::State& state) {
   const auto hosts = static_cast<std::size_t>(state.range(0));
   const auto tenant_count = static_cast<std::size_t>(state.range(1));
   std::vector<Tenant> tenants;
@@ -78,7 +78,7 @@
   state.counters["shares"] =
       static_cast<double>(shares) / static_cast<double>(state.iterations());
 }
-BENCHMARK(BM_Report)
+BENCHMARK(BmReport)
     ->Args({34, 86})
     ->Args({118, 86})
     ->Args({1400, 86})
