--- a/src/lookup/spill_plan.cc
+++ b/src/lookup/spill_plan.cc
@@ -37,8 +37,9 @@
     return 0;
   return std::min<std::uint32_t>(
       kMaxSharePermille,
-      static_cast<std::uint32_t>(
-          kFullPermille - kTargetLoadPermille * kFullPermille / whole_load));
+      static_cast<std::uint32_t>(kFullPermille -
+                                 std::uint64_t{kTargetLoadPermille} *
+                                     kFullPermille / whole_load));
 }
 
 }  // namespace
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -388,7 +388,9 @@
 
 struct HttpListener::State : std::enable_shared_from_this<State> {
   State(asio::io_context& io, HttpHandler handler, HttpListenerOptions options)
-      : m_acceptor(io), m_handler(std::move(handler)), m_options(options) {}
+      : m_acceptor(io),
+        m_handler(std::move(handler)),
+        m_options(std::move(options)) {}
 
   void LimitReceiveBuffer();
   asio::awaitable<void> AcceptLoop();
@@ -589,7 +591,9 @@
 HttpListener::HttpListener(asio::io_context& io,
                            HttpHandler handler,
                            HttpListenerOptions options)
-    : m_state(std::make_shared<State>(io, std::move(handler), options)) {}
+    : m_state(
+          std::make_shared<State>(io, std::move(handler), std::move(options))) {
+}
 
 HttpListener::~HttpListener() {
   beast::error_code error;
