--- a/tests/unit/lookup_spill_plan_test.cc
+++ b/tests/unit/lookup_spill_plan_test.cc
@@ -14,10 +14,10 @@
 constexpr MonoTime kStart{std::chrono::seconds(100)};
 constexpr milliseconds kInterval{250};
 
-const AvailabilityZoneId kLoaded{"a1"};
+const AvailabilityZoneId loaded_zone{"a1"};
 
 ZoneLoads Loads(std::uint32_t load_of_a1) {
-  return {{kLoaded, {.m_hosts = 6, .m_load_permille = load_of_a1}},
+  return {{loaded_zone, {.m_hosts = 6, .m_load_permille = load_of_a1}},
           {{"a2"}, {.m_hosts = 6, .m_load_permille = 250}}};
 }
 
@@ -33,7 +33,7 @@
     now += kInterval;
     const std::uint32_t share = shares[shares.size() - 1 - delay];
     plan = NextSpillPlan(plan, Loads(whole_load * (1000 - share) / 1000), now);
-    shares.push_back(plan.ShareOf(kLoaded));
+    shares.push_back(plan.ShareOf(loaded_zone));
   }
   return shares;
 }
@@ -59,13 +59,14 @@
 // that remains after the load is gone.
 TEST(SpillPlan, BeginsOnlyUnderLoadAndEnds) {
   EXPECT_EQ(PlayZone(700, 0, 100).back(), 0U);
-  SpillPlan plan{.m_share_permille = {{kLoaded, 400}}, .m_updated_at = kStart};
+  SpillPlan plan{.m_share_permille = {{loaded_zone, 400}},
+                 .m_updated_at = kStart};
   MonoTime now = kStart;
   for (int i = 0; i < 100; ++i) {
     now += kInterval;
     plan = NextSpillPlan(plan, Loads(200), now);
   }
-  EXPECT_EQ(plan.ShareOf(kLoaded), 0U);
+  EXPECT_EQ(plan.ShareOf(loaded_zone), 0U);
 }
 
 // Guards against a jump after the process was suspended, or a clock that does
@@ -73,9 +74,9 @@
 TEST(SpillPlan, OneStepAfterAPause) {
   const SpillPlan plan{.m_updated_at = kStart};
   EXPECT_EQ(NextSpillPlan(plan, Loads(2000), kStart + std::chrono::hours(1))
-                .ShareOf(kLoaded),
+                .ShareOf(loaded_zone),
             100U);
-  EXPECT_EQ(NextSpillPlan(plan, Loads(2000), kStart).ShareOf(kLoaded), 0U);
+  EXPECT_EQ(NextSpillPlan(plan, Loads(2000), kStart).ShareOf(loaded_zone), 0U);
 }
 
 std::vector<EntryHostCandidate> Candidates(std::uint32_t load_of_a2) {
@@ -95,22 +96,26 @@
   return candidates;
 }
 
-const RegionByZone kRegions{{{"a1"}, {"a"}}, {{"a2"}, {"a"}}, {{"b1"}, {"b"}}};
+const RegionByZone regions_of_zones{{{"a1"}, {"a"}},
+                                    {{"a2"}, {"a"}},
+                                    {{"b1"}, {"b"}}};
 
 // Guards against a spill that leaves the region although it has room, or that
 // goes to hosts without room.
 TEST(SpillPlan, ReceiversHaveRoomAndAreInTheRegionIfPossible) {
   const auto near =
-      ChooseEntryHosts(Candidates(250), kRegions, {"a1"}, {"a"}, 250);
+      ChooseEntryHosts(Candidates(250), regions_of_zones, {"a1"}, {"a"}, 250);
   ASSERT_EQ(near.size(), 8U);
   EXPECT_EQ(near[6].m_address.substr(0, 2), "a2");
   EXPECT_EQ(near[7].m_address.substr(0, 2), "a2");
   const auto far =
-      ChooseEntryHosts(Candidates(750), kRegions, {"a1"}, {"a"}, 500);
+      ChooseEntryHosts(Candidates(750), regions_of_zones, {"a1"}, {"a"}, 500);
   ASSERT_EQ(far.size(), 12U);
   EXPECT_EQ(far[6].m_address.substr(0, 2), "b1");
   EXPECT_EQ(
-      ChooseEntryHosts(Candidates(250), kRegions, {"a2"}, {"a"}, 0).size(), 6U);
+      ChooseEntryHosts(Candidates(250), regions_of_zones, {"a2"}, {"a"}, 0)
+          .size(),
+      6U);
 }
 
 // Guards against announcing each small change to all hosts.
