--- a/tests/unit/net_http_listener_test.cc
+++ b/tests/unit/net_http_listener_test.cc
@@ -49,6 +49,8 @@
       m_listener.reset();
     });
     Wake();
+    // The handlers refer to members of this object.
+    m_thread.WaitUntil([&] { return m_in_progress == 0; });
   }
   ManualServer(const ManualServer&) = delete;
   ManualServer& operator=(const ManualServer&) = delete;
@@ -103,6 +105,7 @@
       co_return;
     }
     Request& request = m_requests[target];
+    ++m_in_progress;
     exchange.Watch([&request] { request.m_is_caller_gone = true; });
     if (!m_wake) {
       m_wake = std::make_unique<asio::steady_timer>(
@@ -111,16 +114,18 @@
     while (!request.m_is_released && !request.m_is_abandoned)
       co_await m_wake->async_wait(asio::as_tuple(asio::use_awaitable));
     exchange.Unwatch();
-    if (request.m_is_abandoned)
-      co_return;
-    ResponseHead head{.m_status = 200};
-    co_await exchange.Respond(std::move(head), target);
+    if (!request.m_is_abandoned) {
+      ResponseHead head{.m_status = 200};
+      co_await exchange.Respond(std::move(head), target);
+    }
+    --m_in_progress;
   }
 
   IoThread m_thread;
   std::unique_ptr<HttpListener> m_listener;
   std::uint16_t m_port = 0;
   std::map<std::string, Request> m_requests;
+  std::size_t m_in_progress = 0;  // handlers of m_requests
   std::unique_ptr<asio::steady_timer> m_wake;
 };
 
