--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -37,7 +37,8 @@
         self.address = f"{system.prefix}.{(10 if role == 'control' else 50) + index}"
         self.process = None
 
-    def start(self, is_first):
+    def start(self, is_first, log=None):
+        """Starts the process; its output goes to `log`, or to a file in the temporary folder."""
         is_control = self.role == "control"
         listen = {"control": CONTROL} if is_control else {
             "front": FRONT, "ready": READY, "directory": DIRECTORY}
@@ -59,11 +60,13 @@
             os.makedirs(settings["data_dir"], exist_ok=True)
         path = self.system.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
-        with open(self.system.folder / f"{self.name}.log", "ab") as log:
+        with open(self.system.folder / f"{self.name}.log", "ab") as file:
+            output = file if log is None else log
             self.process = subprocess.Popen(
-                [ROOT / "target/jujube-platform", self.role], cwd=ROOT, stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, env={"PATH": os.environ.get("PATH", "/usr/bin:/bin"),
-                                               "JUJUBELIFT_NODE_FILE": str(path)})
+                [ROOT / "target/jujube-platform", self.role], cwd=ROOT, stdout=output,
+                stderr=output, stdin=subprocess.DEVNULL,
+                env={"PATH": os.environ.get("PATH", "/usr/bin:/bin"),
+                     "JUJUBELIFT_NODE_FILE": str(path)})
 
     def is_running(self):
         return self.process is not None and self.process.poll() is None
@@ -140,8 +143,11 @@
         self.zone = zone
         self.slots = slots
         self.work_s = work_s
+        self.is_full = False  # rejects all requests
         self.runs = []  # (attempt id, start line, body)
         self.is_alive = True
+        self.acknowledged = 0  # heartbeats with a 2xx response
+        self._state = "serving"
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self.address = f"{system.prefix}.{100 + len(system.instances)}"
@@ -154,20 +160,30 @@
         self.is_alive = False
         self._listener.close()
 
+    def leave(self):
+        """Reports that the instance is draining; returns whether that was acknowledged."""
+        self._state = "leaving"
+        return self._report()
+
     def _announce(self):
         while self.is_alive:
-            self._sequence += 1
-            body = json.dumps({
-                "service": self.service, "address": f"{self.address}:8080", "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "serving", "cold_left_s": 0,
-                "sequence": self._sequence, "born": self._born}).encode()
-            for host in self.system.controls:
-                answer = call(host.address, CONTROL, f"POST /upstreams/{self.name}/announce",
-                              {"Content-Type": "application/json"}, body, 1.0)
-                if answer and answer[0] == 200:
-                    break
+            if self._state == "serving":
+                self.acknowledged += self._report()
             time.sleep(1.5)
 
+    def _report(self):
+        self._sequence += 1
+        body = json.dumps({
+            "service": self.service, "address": f"{self.address}:8080", "zone": self.zone,
+            "version": "v1", "slots": self.slots, "state": self._state, "cold_left_s": 0,
+            "sequence": self._sequence, "born": self._born}).encode()
+        for host in self.system.controls:
+            answer = call(host.address, CONTROL, f"POST /upstreams/{self.name}/announce",
+                          {"Content-Type": "application/json"}, body, 1.0)
+            if answer and answer[0] == 200:
+                return True
+        return False
+
     def _accept(self):
         while self.is_alive:
             try:
@@ -190,6 +206,9 @@
         fields = {"Attempt-Id": request_id, "Server-Load": f"0,0,{self.slots}"}
         if headers.get("expect-instance") != self.name:
             return encode("HTTP/1.1 421 Misdirected Request", fields)
+        if self.is_full:
+            fields["Server-Load"] = f"{self.slots},{3 * self.slots},{self.slots}"
+            return encode("HTTP/1.1 503 Service Unavailable", {**fields, "Not-Executed": "1"})
         if not request_id:
             return encode("HTTP/1.1 400 Bad Request", {**fields, "Not-Executed": "1"})
         self.runs.append((request_id, start, body))
