Review case 10: new instances are ignored after 16,384 ids

Cause: records of instances that are gone are kept for 365 days; a full registry drops new instances, and their heartbeats are still acknowledged.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -35,8 +35,13 @@
         self.name = f"{role}-{index}"
         self.zone = list(ZONES)[index % len(ZONES)]
         self.address = f"{system.prefix}.{(10 if role == 'control' else 50) + index}"
+        self.data_folder = system.folder / f"data-{self.name}"
         self.process = None
 
+    def count_log_lines(self, event):
+        text = (self.system.folder / f"{self.name}.log").read_text(errors="replace")
+        return text.count(f" {event} ")
+
     def start(self, is_first, log=None):
         """Starts the process; its output goes to `log`, or to a file in the temporary folder."""
         is_control = self.role == "control"
@@ -56,8 +61,8 @@
                        "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 256 if is_control else 0},
             "bounds": BOUNDS}
         if is_control:
-            settings["data_dir"] = str(self.system.folder / f"data-{self.name}")
-            os.makedirs(settings["data_dir"], exist_ok=True)
+            settings["data_dir"] = str(self.data_folder)
+            self.data_folder.mkdir(exist_ok=True)
         path = self.system.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
         with open(self.system.folder / f"{self.name}.log", "ab") as file:
@@ -280,6 +285,11 @@
                        "header_timeout_s": 3, "idle_timeout_s": 15, **limits}}
 
 
+def version_of(configuration):
+    """The version of a configuration that was read."""
+    return json.loads(configuration)["version"]
+
+
 class Record:
     """Lines of record.txt in the folder of the case."""
 
