--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,5 +1,6 @@
-import os
+import json
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -8,110 +9,97 @@
 
 import standins
 
-TIMEOUT_S = 2.0  # of the route
-STALL_S = 50.0
-FULL_PER_S, FINE_PER_S = 40, 5
-
-
-class LogReader:
-    """Reads what a process writes to its standard output and error, but for pauses."""
-
-    def __init__(self):
-        self._read_end, self.write_end = os.pipe()
-        self.is_reading = threading.Event()
-        self.is_reading.set()
-        self.byte_count = 0
-        threading.Thread(target=self._read, daemon=True).start()
-
-    def _read(self):
-        while True:
-            self.is_reading.wait()
-            data = os.read(self._read_end, 4096)
-            if not data:
-                return
-            self.byte_count += len(data)
+ROUNDS = 4
+CLIENTS = 60
+CLIENT_GAP_S = 0.001
+TTL_FACTOR = 3  # "some of them three times as long"
+DEADLINE_S = 4.0
+WORK_S = 2.6
+GRACE_S = standins.BOUNDS["grace_s"]
 
 
 class Client:
-    """Sends requests on a route at a steady rate, each on a new connection."""
-
-    def __init__(self, entry, path, per_s):
-        self.entry = entry
-        self.path = path
-        self.per_s = per_s
-        self.answers = []  # (sent at, id, status or 0, seconds)
-        self._count = 0
-
-    def run_until(self, end):
-        threads = []
-        while time.monotonic() < end:
-            self._count += 1
-            thread = threading.Thread(target=self._send, args=(self._count,), daemon=True)
-            thread.start()
-            threads.append(thread)
-            time.sleep(1 / self.per_s)
-        for thread in threads:
-            thread.join()
-
-    def _send(self, number):
-        request_id = f"{self.path.strip('/')}-{number}"
-        started_at = time.monotonic()
-        # Waits half a second beyond the route's timeout.
-        answer = standins.call(self.entry.address, standins.FRONT, f"GET {self.path}x",
-                               {"Attempt-Id": request_id, "Deadline-Ms": "4000"}, b"",
-                               TIMEOUT_S + 0.5)
-        self.answers.append((started_at, request_id, answer[0] if answer else 0,
-                             time.monotonic() - started_at))
+    """Looks up the entry hosts once, and uses the answer for as long as the pages allow."""
+
+    def __init__(self, name, directory, entry):
+        self.name = name
+        self.directory = directory
+        self.entry = entry  # the host that it picks if the answer names it
+        self.sent_at = None
+        self.answered_at = None
+        self.status = 0
+        self.has_seal = False
+
+    def run(self):
+        start = f"GET /entry-hosts?name=a.example&region=r-1&zone={self.entry.zone}"
+        looked_up_at = time.monotonic()
+        answer = standins.call(self.directory.address, standins.DIRECTORY, start, {}, b"", 1.0)
+        if not answer or answer[0] != 200:
+            return
+        named = json.loads(answer[2])
+        if f"{self.entry.address}:{standins.FRONT}" not in named["addresses"]:
+            return
+        lifetime = TTL_FACTOR * min(named["ttl_s"], standins.BOUNDS["ttl_max_s"])
+        time.sleep(max(0, looked_up_at + lifetime - 0.003 - time.monotonic()))
+        self.sent_at = time.monotonic()
+        answer = standins.call(self.entry.address, standins.FRONT, "GET /read/x", {
+            "Attempt-Id": self.name, "Deadline-Ms": str(int(DEADLINE_S * 1000))}, b"", DEADLINE_S)
+        self.answered_at = time.monotonic()
+        if answer:
+            self.status, self.has_seal = answer[0], "server-seal" in answer[1]
+
+
+def play_round(system, record, has_trouble, number):
+    entry = system.entries[number]
+    directories = [host for host in system.entries if host is not entry]
+    clients = [Client(f"r{number}-{index}", directories[index % len(directories)], entry)
+               for index in range(CLIENTS)]
+    stopped_at = time.monotonic()
+    if has_trouble:
+        entry.process.send_signal(signal.SIGTERM)
+    record.add(f"round {number}: {'SIGTERM of' if has_trouble else 'no SIGTERM of'} {entry.name}")
+    threads = [threading.Thread(target=client.run) for client in clients]
+    for index, thread in enumerate(threads):
+        time.sleep(max(0, stopped_at + index * CLIENT_GAP_S - time.monotonic()))
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if has_trouble:
+        entry.process.wait(10)
+        entry.start(False)
+        system.wait_until_ready()
+    time.sleep(5)  # more than contact_s without a disruption; the runs end meanwhile
+    breaks = []
+    runs = {run[0]: run for instance in system.instances for run in instance.spans}
+    for client in clients:
+        if client.sent_at is None:
+            continue
+        sent, answered = client.sent_at - stopped_at, client.answered_at - stopped_at
+        record.add(f"{client.name} sent {sent:.3f} s after SIGTERM, status {client.status}, "
+                   f"signature {client.has_seal}, after {answered:.3f} s")
+        run = runs.get(client.name)
+        is_at_work = run is not None and run[1] < client.answered_at < run[2]
+        is_in_time = client.answered_at < client.sent_at + DEADLINE_S - 0.1
+        if 3.0 < sent < GRACE_S + 1 and is_at_work and is_in_time and not client.has_seal:
+            breaks.append(f"LOST: {client.name} was sent {sent:.3f} s after SIGTERM and given up "
+                          f"{answered:.3f} s after it, while its instance was at work")
+    return breaks
 
 
 def play(system, record, has_trouble):
-    entry = system.entries[0]
-    entry.kill()
-    log = LogReader()
-    entry.start(True, log.write_end)
-    os.close(log.write_end)
     status = system.put(standins.document(5, [
-        standins.route("full", "/full/", "repeatable", "full", timeout_s=TIMEOUT_S),
-        standins.route("fine", "/fine/", "repeatable", "fine", timeout_s=TIMEOUT_S)],
-        ["full", "fine"]), 0)
+        standins.route("read", "/read/", "repeatable", "s", timeout_s=DEADLINE_S)], ["s"]), 0)
     record.add(f"configuration r5: {status}")
-    for index in range(6):
-        instance = standins.Instance(system, f"i-{index}", "full" if index < 3 else "fine",
-                                     zone=list(standins.ZONES)[index % 3])
-        instance.is_full = instance.service == "full"
+    for index in range(8):
+        standins.Instance(system, f"i-{index}", "s", zone=list(standins.ZONES)[index % 3],
+                          slots=9, work_s=WORK_S)
     system.wait_until_ready()
-    time.sleep(3)
-    begin = time.monotonic()
-    full, fine = Client(entry, "/full/", FULL_PER_S), Client(entry, "/fine/", FINE_PER_S)
-    threads = [threading.Thread(target=client.run_until, args=(begin + STALL_S + 15,))
-               for client in (full, fine)]
-    for thread in threads:
-        thread.start()
     time.sleep(5)
-    if has_trouble:
-        record.add("the log is not read from here on")
-        log.is_reading.clear()
-    time.sleep(STALL_S)
-    log.is_reading.set()
-    record.add("the log is read again" if has_trouble else "the log was read all the time")
-    for thread in threads:
-        thread.join()
-    for started_at, request_id, answer, seconds in sorted(fine.answers):
-        record.add(f"{started_at - begin:7.3f} s after the first: {request_id}, "
-                   f"status {answer or 'none'} after {seconds:.3f} s")
-    unanswered = [a for a in fine.answers if a[2] == 0]
-    served = sum(a[2] == 200 for a in fine.answers)
-    record.add(f"{len(fine.answers)} requests on /fine/, {served} served, {len(unanswered)} without "
-               f"an answer {TIMEOUT_S + 0.5} s after they were sent; {log.byte_count} bytes of log")
-    if not has_trouble and served < len(fine.answers) / 2:
-        raise standins.CannotRun("the calm run serves less than half of the requests")
-    # "Eight or more of them, and over a quarter" of those that last as long as the timeout.
-    late = [a for a in fine.answers if a[3] >= TIMEOUT_S]
-    if len(unanswered) >= 8 and len(unanswered) > len(late) / 4:
-        return [f"CONFIG: {len(unanswered)} of {len(late)} requests that lasted longer than "
-                f"timeout_s had no final answer 0.5 s after it"]
-    return []
+    breaks = []
+    for number in range(ROUNDS):
+        breaks += play_round(system, record, has_trouble, number)
+    return breaks
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(pathlib.Path(__file__).parent, play))
+    sys.exit(standins.run_case(pathlib.Path(__file__).parent, play, entries=ROUNDS))
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -150,6 +150,7 @@
         self.work_s = work_s
         self.is_full = False  # rejects all requests
         self.runs = []  # (attempt id, start line, body)
+        self.spans = []  # (attempt id, start, end) of the work
         self.is_alive = True
         self.acknowledged = 0  # heartbeats with a 2xx response
         self._state = "serving"
@@ -217,7 +218,9 @@
         if not request_id:
             return encode("HTTP/1.1 400 Bad Request", {**fields, "Not-Executed": "1"})
         self.runs.append((request_id, start, body))
+        started_at = time.monotonic()
         time.sleep(self.work_s)
+        self.spans.append((request_id, started_at, time.monotonic()))
         # Stands for the signature; the body of a response names its request.
         fields["Server-Seal"] = self.name
         return encode("HTTP/1.1 200 OK", fields, f"{request_id} at {self.name}".encode())
@@ -305,13 +308,16 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
-def run_case(folder, play):
-    """Runs `play(system, record, has_trouble)`, which returns what broke the rule. Returns the exit code."""
+def run_case(folder, play, entries=2):
+    """Runs `play(system, record, has_trouble)`, which returns what broke the rule.
+
+    Returns the exit code.
+    """
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     system = None
     try:
-        system = System()
+        system = System(entries=entries)
         system.start()
         breaks = play(system, record, has_trouble)
         system.check_running()
