--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -314,6 +315,8 @@
     Returns the exit code.
     """
     record = Record(folder)
+    # Ends the processes also if the time limit of run.sh is reached.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     system = None
     try:
@@ -325,8 +328,8 @@
             record.add(f"BROKEN {text}")
         record.add(f"{len(breaks)} breaks of the rule")
         return 1 if breaks else 0
-    except CannotRun as error:
-        record.add(f"cannot run: {error}")
+    except Exception as error:  # not a break of the rule, whatever it is
+        record.add(f"cannot run: {error!r}")
         return 2
     finally:
         if system is not None:
