--- a/review/9/play.py
+++ b/review/9/play.py
@@ -9,6 +9,7 @@
 
 import standins
 
+RECORD = pathlib.Path(__file__).parent / "record.txt"
 ROUNDS = 4
 CLIENTS = 60
 CLIENT_GAP_S = 0.001
@@ -54,9 +55,9 @@
     directories = [host for host in system.entries if host is not entry]
     clients = [Client(f"r{number}-{index}", directories[index % len(directories)], entry)
                for index in range(CLIENTS)]
-    stopped_at = time.monotonic()
     if has_trouble:
         entry.process.send_signal(signal.SIGTERM)
+    stopped_at = time.monotonic()  # not before the signal, so that no request counts too early
     record.add(f"round {number}: {'SIGTERM of' if has_trouble else 'no SIGTERM of'} {entry.name}")
     threads = [threading.Thread(target=client.run) for client in clients]
     for index, thread in enumerate(threads):
@@ -78,6 +79,11 @@
         record.add(f"{client.name} sent {sent:.3f} s after SIGTERM, status {client.status}, "
                    f"signature {client.has_seal}, after {answered:.3f} s")
         run = runs.get(client.name)
+        if run is not None:
+            record.add(f"{client.name} ran from {run[1] - stopped_at:.3f} to "
+                       f"{run[2] - stopped_at:.3f} s")
+        if not has_trouble and client.status != 200:
+            raise standins.CannotRun(f"{client.name} isn't served in the calm run")
         is_at_work = run is not None and run[1] < client.answered_at < run[2]
         is_in_time = client.answered_at < client.sent_at + DEADLINE_S - 0.1
         if 3.0 < sent < GRACE_S + 1 and is_at_work and is_in_time and not client.has_seal:
@@ -102,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(pathlib.Path(__file__).parent, play, entries=ROUNDS))
+    sys.exit(standins.run_case(RECORD, play, entries=ROUNDS))
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -295,11 +295,11 @@
 
 
 class Record:
-    """Lines of record.txt in the folder of the case."""
+    """What was sent, answered and run; written when the case ends."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self._lines = []
-        self._path = pathlib.Path(folder) / "record.txt"
+        self._path = path
         self._started_at = time.monotonic()
 
     def add(self, text):
@@ -309,12 +309,12 @@
         self._path.write_text("\n".join(self._lines) + "\n")
 
 
-def run_case(folder, play, entries=2):
+def run_case(record_path, play, entries=2):
     """Runs `play(system, record, has_trouble)`, which returns what broke the rule.
 
     Returns the exit code.
     """
-    record = Record(folder)
+    record = Record(record_path)
     # Ends the processes also if the time limit of run.sh is reached.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
