Treat a response with a status outside 100 to 599 as malformed

Seen: an upstream answered with status 000, and the caller got it as a response, with the verdict "ran" in the native dialect. Status 600 to 999 was passed on likewise; with the field of a refusal the platform's dialect took it for a statement that the request had not run and answered 503, which promises this to the caller. Cause: the parser accepts any three digits as a status, and HttpConnection::ReadHead returned what it had parsed. All responses are read there: those of upstreams for both dialects and those that jujubectl and the stubs read. Change: ReadHead fails if the status is none of HTTP (RFC 9110, section 15), before it skips informational responses. The attempt then counts as malformed: the connection is closed, nothing that the response states is recorded, the verdict is "may have run", and the caller gets 502 or a retry.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -31,6 +31,9 @@
 constexpr std::size_t kReadBufferBytes = 65536;
 constexpr std::uint32_t kMaxHeaderBytes = 32768;
 constexpr int kMaxInformationalResponses = 8;
+// RFC 9110, section 15. The parser accepts any three digits.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 
 Error DeadlineError(std::string_view operation) {
   return MakeError(ErrorCode::kTimeout,
@@ -184,6 +187,12 @@
     if (error)
       co_return OperationError("response head", error);
     const auto& message = state.m_parser->get();
+    if (message.result_int() < kMinStatus ||
+        message.result_int() > kMaxStatus) {
+      co_return MakeError(ErrorCode::kIo,
+                          "response head: invalid status " +
+                              std::to_string(message.result_int()));
+    }
     if (message.result_int() / 100 == 1)
       continue;
     ResponseHead head{.m_status =
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -57,7 +57,8 @@
   // default they are an error, since a crash of the server looks the same.
   void TakeCloseDelimited();
 
-  // Reads the head of the response and skips informational (1xx) responses.
+  // Reads the head of the response and skips informational (1xx) responses. A
+  // malformed head is an error.
   asio::awaitable<Result<ResponseHead>> ReadHead();
   // Reads the next bytes of the body. Returns 0 at its end. A truncated body,
   // or one whose end cannot be determined, is an error.
--- a/tests/process/discovery_fixture.cc
+++ b/tests/process/discovery_fixture.cc
@@ -130,14 +130,18 @@
   return {.m_address = AddressOf(kUpstreamHost), .m_port = 8080};
 }
 
+int DiscoveryTest::Announce(int sequence) {
+  return Call({.m_address = AddressOf(2), .m_port = kControlPort},
+              "POST /upstreams/i-1/announce", "",
+              R"({"service":"s","address":")" + ToText(UpstreamEndpoint()) +
+                  R"(","zone":"z","slots":3,"state":"serving",)"
+                  R"("cold_left_s":0,"sequence":)" +
+                  std::to_string(sequence) + R"(,"born":5})")
+      .m_status;
+}
+
 void DiscoveryTest::WaitUntilServed() {
-  EXPECT_EQ(Call({.m_address = AddressOf(2), .m_port = kControlPort},
-                 "POST /upstreams/i-1/announce", "",
-                 R"({"service":"s","address":")" + ToText(UpstreamEndpoint()) +
-                     R"(","zone":"z","slots":3,"state":"serving",)"
-                     R"("cold_left_s":0,"sequence":1,"born":5})")
-                .m_status,
-            200);
+  EXPECT_EQ(Announce(1), 200);
   WaitUntil("a request is served", [] {
     return Call({.m_address = AddressOf(kEntryHost), .m_port = kRequestPort},
                 "GET /p/1", "Attempt-Id: 77\r\nDeadline-Ms: 2000\r\n")
--- a/tests/process/discovery_fixture.h
+++ b/tests/process/discovery_fixture.h
@@ -51,6 +51,8 @@
   static void PutUntilAccepted(const std::string& document, int base);
 
   static Endpoint UpstreamEndpoint();
+  // Announces the upstream at a control host. Returns the status.
+  static int Announce(int sequence);
   // Announces the upstream and waits until the entry host sends it requests.
   static void WaitUntilServed();
 
--- a/tests/unit/net_http_connection_test.cc
+++ b/tests/unit/net_http_connection_test.cc
@@ -156,5 +156,27 @@
   EXPECT_TRUE(!surplus.Reusable() || surplus.Stale());
 }
 
+// Guards against a response that is taken for complete although its status is
+// outside 100 to 599, such as 000.
+TEST(HttpConnection, InvalidStatusIsAnError) {
+  constexpr int kStatuses = 1000;
+  constexpr int kFirstFinal = 200;
+  constexpr int kLastFinal = 599;
+  std::vector<std::string> texts;
+  for (int status = 0; status < kStatuses; ++status) {
+    const std::string digits = std::to_string(kStatuses + status).substr(1);
+    texts.push_back("HTTP/1.1 " + digits +
+                    " OK\r\nContent-Length: 4\r\n\r\nfuel");
+  }
+  const ScriptedServer server(texts, true);
+  asio::io_context context;
+  for (int status = 0; status < kStatuses; ++status) {
+    HttpConnection connection(context.get_executor());
+    const Received received = GetOn(context, connection, server.Address());
+    const bool is_valid = status >= kFirstFinal && status <= kLastFinal;
+    EXPECT_EQ(received.m_is_complete, is_valid) << status;
+  }
+}
+
 }  // namespace
 }  // namespace jujube::net
