Treat a response head with a line that begins with a blank as malformed

Seen: an upstream answered with a field whose name begins with a blank. The caller got the line as a part of the value of the field above it ("X-Id: 7 X-Grade: a"). With " Transfer-Encoding: chunked" on the platform, where a response may end with its connection, the caller got the framing of the body as the body. Cause: such a line continues the previous one in the obsolete syntax of folded lines. The parser joins it to the value above it, so that the field itself is lost. Change: ReadHead keeps the bytes of a head while it is parsed and fails if a line begins with a blank. RFC 9112, section 5.2, lets a gateway answer 502 to such a response, and section 2.2 forbids a blank before the first field, which the parser refuses. The check comes before informational responses are skipped. Lines of a trailer are left as they are: no trailer is passed on, and none delimits the body. Evidence: without the change, MalformedResponse.BlankBeforeAFieldName and DiscoveryResponse.BlankBeforeAFieldNameIsNotPassedOn fail with the responses above, and HttpConnection.InvalidFieldNameIsAnError fails for a blank and a tab before the name of a later field, in final and informational heads (4 of 408 responses). With it they pass. Handled already, tests kept: a blank or control byte at any other place of a name, also in informational responses and trailers. The parser refuses these (404 of 408, and the tests BlankInAFieldName, BlankBehindAFieldName and ControlByteInAFieldName). BlanksAfterTheHeadAndPiecesAreAccepted covers valid responses. FaultyUpstream and LargeResponse pass.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -47,6 +48,15 @@
                    std::string(operation) + ": " + error.message());
 }
 
+// True if a line of the head begins with a blank. RFC 9112, section 5.2, lets a
+// gateway reject such a line or join it to the previous one, as the parser
+// does. From a server in trouble it may be a field of its own, such as the
+// length of the body, which joining would hide.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
 // True if the next bytes of the socket begin an informational response.
 bool HasInformationalResponse(tcp::socket& socket) {
   constexpr std::string_view kBeginning = "HTTP/1.1 1";
@@ -66,6 +76,11 @@
   // has bytes ready or takes bytes at once never lets one wait.
   bool IsPastDeadline() const { return MonoClock::now() >= m_deadline; }
 
+  // Reads the next head into a new parser.
+  asio::awaitable<Status> ParseHead();
+  // Reads into m_buffer what the stream has.
+  asio::awaitable<beast::error_code> FillBuffer();
+
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer{kReadBufferBytes};
   http::request<http::buffer_body> m_request;
@@ -78,6 +93,46 @@
   std::shared_ptr<bool> m_watch_active;  // false after UnwatchInput
 };
 
+asio::awaitable<beast::error_code> HttpConnection::State::FillBuffer() {
+  const std::size_t size = beast::read_size(m_buffer, kReadBufferBytes);
+  auto [error, count] =
+      co_await m_stream.async_read_some(m_buffer.prepare(size), kTuple);
+  m_buffer.commit(count);
+  if (error == asio::error::eof) {
+    co_return m_parser->got_some() ? http::error::partial_message
+                                   : http::error::end_of_stream;
+  }
+  co_return error;
+}
+
+// http::async_read_header does not give access to the bytes of the head.
+asio::awaitable<Status> HttpConnection::State::ParseHead() {
+  m_parser.emplace();
+  m_parser->header_limit(kMaxHeaderBytes);
+  m_parser->body_limit(boost::none);
+  m_parser->skip(m_is_head_method);
+  std::string head;
+  beast::error_code error;
+  while (!m_parser->is_header_done()) {
+    if (m_buffer.size() == 0 || error == http::error::need_more) {
+      error = co_await FillBuffer();
+      if (error)
+        co_return OperationError("response head", error);
+    }
+    const auto unparsed = m_buffer.data();
+    const std::size_t count = m_parser->put(unparsed, error);
+    head.append(static_cast<const char*>(unparsed.data()), count);
+    m_buffer.consume(count);
+    if (error && error != http::error::need_more)
+      co_return OperationError("response head", error);
+  }
+  if (HasFoldedLine(head)) {
+    co_return MakeError(ErrorCode::kIo,
+                        "response head: a field line begins with a blank");
+  }
+  co_return Success();
+}
+
 HttpConnection::HttpConnection(const asio::any_io_executor& executor)
     : m_state(std::make_unique<State>(executor)) {}
 
@@ -177,15 +232,7 @@
 asio::awaitable<Result<ResponseHead>> HttpConnection::ReadHead() {
   State& state = *m_state;
   for (int i = 0; i < kMaxInformationalResponses; ++i) {
-    state.m_parser.emplace();
-    state.m_parser->header_limit(kMaxHeaderBytes);
-    state.m_parser->body_limit(boost::none);
-    if (state.m_is_head_method)
-      state.m_parser->skip(true);
-    auto [error, count] = co_await http::async_read_header(
-        state.m_stream, state.m_buffer, *state.m_parser, kTuple);
-    if (error)
-      co_return OperationError("response head", error);
+    JUJUBE_CO_TRY(co_await state.ParseHead());
     const auto& message = state.m_parser->get();
     if (message.result_int() < kMinStatus ||
         message.result_int() > kMaxStatus) {
--- a/tests/process/discovery_response_test.cc
+++ b/tests/process/discovery_response_test.cc
@@ -37,6 +37,8 @@
     });
     EXPECT_EQ(answer.m_status, 502) << answer.m_text;
     EXPECT_EQ(answer.m_text.find("fuel"), std::string::npos) << answer.m_text;
+    EXPECT_EQ(answer.m_text.find("X-Grade"), std::string::npos)
+        << answer.m_text;
   }
 };
 
@@ -55,5 +57,28 @@
       "Content-Length: 4\r\n\r\nfuel");
 }
 
+// Guards against a field line that is passed on with a blank in its name.
+TEST_F(DiscoveryResponse, BlankInAFieldNameIsNotPassedOn) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nX-Grade two: a\r\n"
+      "Content-Length: 4\r\n\r\nfuel");
+}
+
+// Guards against a field line that is passed on with a control byte in its
+// name.
+TEST_F(DiscoveryResponse, ControlByteInAFieldNameIsNotPassedOn) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nX-Grade\x01: a\r\n"
+      "Content-Length: 4\r\n\r\nfuel");
+}
+
+// Guards against the framing of a body that is passed on as the body, because
+// the name of the field that states it begins with a blank.
+TEST_F(DiscoveryResponse, BlankBeforeAFieldNameIsNotPassedOn) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nX-Grade: a\r\n"
+      " Transfer-Encoding: chunked\r\n\r\n4\r\nfuel\r\n0\r\n\r\n");
+}
+
 }  // namespace
 }  // namespace jujube::process
--- a/tests/process/malformed_response_test.cc
+++ b/tests/process/malformed_response_test.cc
@@ -32,6 +32,7 @@
     EXPECT_NE(received.find("Jujube-Verdict: may-have-run"), std::string::npos)
         << received;
     EXPECT_EQ(received.find("fuel"), std::string::npos) << received;
+    EXPECT_EQ(received.find("X-Grade"), std::string::npos) << received;
   }
 };
 
@@ -62,5 +63,32 @@
                     std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
+// Guards against a field line that is passed on with a blank in its name.
+TEST_F(MalformedResponse, BlankInAFieldName) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nX-Grade two: a\r\nContent-Length: 4\r\n\r\nfuel");
+}
+
+// Guards against a length that is ignored because of the blank before its
+// colon, so that the connection and not the length ends the body.
+TEST_F(MalformedResponse, BlankBehindAFieldName) {
+  ExpectNotPassedOn("HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nfuel");
+}
+
+// Guards against a field line that is passed on with a control byte in its
+// name.
+TEST_F(MalformedResponse, ControlByteInAFieldName) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nX-Grade\x01: a\r\nContent-Length: 4\r\n\r\nfuel");
+}
+
+// Guards against a field line that is joined to the one above it, and passed on
+// as a part of its value, because its name begins with a blank.
+TEST_F(MalformedResponse, BlankBeforeAFieldName) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Id: 7\r\n X-Grade: a\r\n\r\n"
+      "fuel");
+}
+
 }  // namespace
 }  // namespace jujube::testing
--- a/tests/unit/net_http_connection_test.cc
+++ b/tests/unit/net_http_connection_test.cc
@@ -1,6 +1,8 @@
 // Tests of HttpConnection with a server that sends given bytes and then closes.
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <future>
 #include <memory>
 #include <string>
@@ -23,20 +25,25 @@
 
 using asio::ip::tcp;
 
-// Answers one request on each connection with the next of the given texts. The
-// connection is closed after a text if `closes` is set, and kept open
-// otherwise.
+// Answers one request on each connection with the next of the given texts, in
+// pieces of the given size. The connection is closed after a text if `closes`
+// is set, and kept open otherwise.
 class ScriptedServer {
  public:
-  ScriptedServer(std::vector<std::string> texts, bool closes)
+  ScriptedServer(std::vector<std::string> texts,
+                 bool closes,
+                 std::size_t piece_bytes = SIZE_MAX)
       : m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0}),
-        m_thread([this, texts = std::move(texts), closes] {
+        m_thread([this, texts = std::move(texts), closes, piece_bytes] {
           std::vector<tcp::socket> open;
           for (const std::string& text : texts) {
             tcp::socket socket = m_acceptor.accept();
             asio::streambuf request;
             asio::read_until(socket, request, "\r\n\r\n");
-            asio::write(socket, asio::buffer(text));
+            socket.set_option(tcp::no_delay(true));
+            for (std::size_t at = 0; at < text.size();
+                 at += std::min(piece_bytes, text.size() - at))
+              asio::write(socket, asio::buffer(text.substr(at, piece_bytes)));
             if (!closes)
               open.push_back(std::move(socket));
           }
@@ -178,5 +185,70 @@
   }
 }
 
+// Guards against a field line whose name holds a blank or a control byte, and
+// which is passed on or does not delimit the body that it should.
+TEST(HttpConnection, InvalidFieldNameIsAnError) {
+  struct Place {
+    std::string m_before;
+    std::string m_after;
+  };
+  const std::string end = "Content-Length: 4\r\n\r\nfuel";
+  const std::vector<Place> places = {
+      {"HTTP/1.1 200 OK\r\n", end},
+      {"HTTP/1.1 200 OK\r\nX-Id: 7\r\n", end},
+      {"HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\n",
+       "\r\nHTTP/1.1 200 OK\r\n" + end},
+      // The trailer of a chunked body.
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4\r\nfuel\r\n0\r\n",
+       "\r\n"},
+  };
+  std::string bytes = "\x7f";
+  for (char byte = 0; byte <= ' '; ++byte)
+    bytes += byte;
+  const std::string name = "Grade";
+  std::vector<std::string> texts;
+  for (const char byte : bytes) {
+    for (const std::size_t at : {std::size_t{0}, std::size_t{2}, name.size()}) {
+      std::string line = name;
+      line.insert(at, 1, byte);
+      line += ": a\r\n";
+      for (const Place& place : places) {
+        texts.push_back(place.m_before);
+        texts.back() += line;
+        texts.back() += place.m_after;
+      }
+    }
+  }
+  const ScriptedServer server(texts, true);
+  asio::io_context context;
+  for (const std::string& text : texts) {
+    HttpConnection connection(context.get_executor());
+    connection.TakeCloseDelimited();
+    const Received received = GetOn(context, connection, server.Address());
+    EXPECT_FALSE(received.m_is_complete) << text;
+  }
+}
+
+// Guards against a valid response that is refused because a line of its body
+// begins with a blank, or because its head arrives in pieces.
+TEST(HttpConnection, BlanksAfterTheHeadAndPiecesAreAccepted) {
+  const std::string body = " fuel\r\n oil\r\n\tgas";
+  const std::string response =
+      "HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nX-Id: 7 \t \r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  for (const std::size_t piece_bytes :
+       {std::size_t{1}, std::size_t{7}, response.size()}) {
+    const ScriptedServer server({response}, false, piece_bytes);
+    asio::io_context context;
+    HttpConnection connection(context.get_executor());
+    const Received received = GetOn(context, connection, server.Address());
+    EXPECT_TRUE(received.m_is_complete) << piece_bytes;
+    EXPECT_EQ(received.m_body, body) << piece_bytes;
+    EXPECT_TRUE(connection.Reusable()) << piece_bytes;
+  }
+}
+
 }  // namespace
 }  // namespace jujube::net
