Treat a response with an unknown transfer coding as malformed

Seen: an upstream answered with "Transfer-Encoding: gzip, chunked". The caller got the coded bytes as a complete body, without the field that names the coding. On the platform, where a response may end with its connection, "xchunked" and an empty coding likewise passed on the framing of the body as the body. Cause: as for the invalid status, the head was used as the parser returned it. The parser removes a last coding of chunked and leaves every other one on the body. Change: ReadHead fails if a Transfer-Encoding is anything but chunked. No request asks for another coding (RFC 9110, section 10.1.4), so no valid response is affected. Evidence: without the change, MalformedResponse.UnknownTransferCoding and DiscoveryResponse.UnknownTransferCodingIsNotPassedOn fail ("200 OK", "fuel" at the caller), and HttpConnection.UnknownTransferCodingIsAnError for at least 7 of its 9 invalid fields. With it they pass, and so do the other HttpConnection, MalformedResponse, DiscoveryResponse, FaultyUpstream and LargeResponse tests.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -57,6 +57,26 @@
          head.find("\n\t") != std::string_view::npos;
 }
 
+// Fails for heads that the parser accepts although a caller could not use the
+// response.
+Status CheckHead(const http::response_header<>& head) {
+  if (head.result_int() < kMinStatus || head.result_int() > kMaxStatus) {
+    return MakeError(ErrorCode::kIo, "response head: invalid status " +
+                                         std::to_string(head.result_int()));
+  }
+  // Any other coding would stay on the body, whose Transfer-Encoding is not
+  // passed on. No request asks for one.
+  const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+  for (auto field = first; field != last; ++field) {
+    if (!EqualsIgnoreCase(field->value(), "chunked")) {
+      return MakeError(ErrorCode::kIo,
+                       "response head: unknown transfer coding \"" +
+                           std::string(field->value()) + "\"");
+    }
+  }
+  return Success();
+}
+
 // True if the next bytes of the socket begin an informational response.
 bool HasInformationalResponse(tcp::socket& socket) {
   constexpr std::string_view kBeginning = "HTTP/1.1 1";
@@ -234,12 +254,7 @@
   for (int i = 0; i < kMaxInformationalResponses; ++i) {
     JUJUBE_CO_TRY(co_await state.ParseHead());
     const auto& message = state.m_parser->get();
-    if (message.result_int() < kMinStatus ||
-        message.result_int() > kMaxStatus) {
-      co_return MakeError(ErrorCode::kIo,
-                          "response head: invalid status " +
-                              std::to_string(message.result_int()));
-    }
+    JUJUBE_CO_TRY(CheckHead(message));
     if (message.result_int() / 100 == 1)
       continue;
     ResponseHead head{.m_status =
--- a/tests/process/discovery_response_test.cc
+++ b/tests/process/discovery_response_test.cc
@@ -80,5 +80,14 @@
       " Transfer-Encoding: chunked\r\n\r\n4\r\nfuel\r\n0\r\n\r\n");
 }
 
+// Guards against a body that is passed on with a transfer coding whose name the
+// caller does not get.
+TEST_F(DiscoveryResponse, UnknownTransferCodingIsNotPassedOn) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nTransfer-Encoding: gzip, "
+      "chunked\r\n"
+      "\r\n4\r\nfuel\r\n0\r\n\r\n");
+}
+
 }  // namespace
 }  // namespace jujube::process
--- a/tests/process/malformed_response_test.cc
+++ b/tests/process/malformed_response_test.cc
@@ -90,5 +90,13 @@
       "fuel");
 }
 
+// Guards against a body that is passed on with a transfer coding whose name the
+// caller does not get.
+TEST_F(MalformedResponse, UnknownTransferCoding) {
+  ExpectNotPassedOn(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+      "4\r\nfuel\r\n0\r\n\r\n");
+}
+
 }  // namespace
 }  // namespace jujube::testing
--- a/tests/unit/net_http_connection_test.cc
+++ b/tests/unit/net_http_connection_test.cc
@@ -230,6 +230,39 @@
   }
 }
 
+// Guards against a body that is taken for complete with a transfer coding that
+// was not removed from it.
+TEST(HttpConnection, UnknownTransferCodingIsAnError) {
+  const std::vector<std::string> codings = {
+      "Transfer-Encoding: xchunked",
+      "Transfer-Encoding: gzip",
+      "Transfer-Encoding: gzip, chunked",
+      "Transfer-Encoding: chunked, gzip",
+      "Transfer-Encoding: chunked, chunked",
+      "Transfer-Encoding: chunked;x=1",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding:",
+      "Transfer-Encoding: CHUNKED",
+      "Transfer-Encoding: chunked",
+  };
+  const std::size_t first_valid = codings.size() - 2;
+  std::vector<std::string> texts;
+  for (const std::string& coding : codings) {
+    texts.emplace_back("HTTP/1.1 200 OK\r\n");
+    texts.back() += coding;
+    texts.back() += "\r\n\r\n4\r\nfuel\r\n0\r\n\r\n";
+  }
+  const ScriptedServer server(texts, true);
+  asio::io_context context;
+  for (std::size_t i = 0; i < codings.size(); ++i) {
+    HttpConnection connection(context.get_executor());
+    connection.TakeCloseDelimited();
+    const Received received = GetOn(context, connection, server.Address());
+    EXPECT_EQ(received.m_is_complete, i >= first_valid) << codings[i];
+  }
+}
+
 // Guards against a valid response that is refused because a line of its body
 // begins with a blank, or because its head arrives in pieces.
 TEST(HttpConnection, BlanksAfterTheHeadAndPiecesAreAccepted) {
