Refuse requests that a planned stop leaves too little time

Seen: callers sent repeatable requests later than 3 s after SIGTERM of an entry host, by look-ups that were still valid. Cause: admission shortens the deadline of a repeatable request to the end of the stop, however little is left. drain_limit is the time that a stop leaves to its requests, but stop_limit, which includes the phases before, takes it away again: a stop of 5.5 s whose look-up phase lasts up to 3.5 s leaves 1.9 s, and with a later confirmation even less. Change: a request that may outlast the stop is refused unsent once less than drain_limit is left until stop_limit (StopWindow). Requests that end before are served as before. On the platform drain_limit leaves 2.75 s for admission, since requests sent up to 3 s after SIGTERM may be given up, later ones not; the rest is for the handling of the signal.

--- a/src/entry/entry_control_limits.cc
+++ b/src/entry/entry_control_limits.cc
@@ -148,8 +148,11 @@
   view->m_is_refusing_requests =
       m_drain && m_drain->m_phase >= request::DrainPhase::kWaitingForRequests;
   if (m_drain) {
-    view->m_requests_end_by =
-        request::EarliestCut(*m_drain, MakeDrainLimits()) - kLastResponseTime;
+    const request::DrainLimits limits = MakeDrainLimits();
+    view->m_stop = {
+        .m_requests_end_by =
+            request::EarliestCut(*m_drain, limits) - kLastResponseTime,
+        .m_shortening_ends_at = request::LatestFullAdmission(*m_drain, limits)};
   }
   const MonoTime now = MonoClock::now();
   UpdateHostCap(now);
--- a/src/entry/forwarder_admission_impl.h
+++ b/src/entry/forwarder_admission_impl.h
@@ -114,13 +114,15 @@
         std::min(request.m_deadline.m_time,
                  request.m_received_at + *request.m_route.m_time_limit);
   }
-  const bool may_outlast_host =
-      view.m_requests_end_by &&
-      request.m_deadline.m_time > *view.m_requests_end_by;
-  // A repeatable request gets its final answer before the host stops, and the
-  // caller may send it again. Another one is left to other hosts.
-  if (may_outlast_host)
-    request.m_deadline.m_time = *view.m_requests_end_by;
+  const request::StopFit stop_fit =
+      view.m_stop
+          ? request::FitIntoStop(*view.m_stop,
+                                 {.m_deadline = request.m_deadline.m_time,
+                                  .m_now = request.m_received_at,
+                                  .m_is_repeatable = request.m_is_repeatable})
+          : request::StopFit::kWhole;
+  if (stop_fit == request::StopFit::kShortened)
+    request.m_deadline.m_time = view.m_stop->m_requests_end_by;
   std::optional<Refusal> bad_key = CheckKey(request);
   if (bad_key) {
     m_metrics.CountRefusal(RefusalCause::kBadKey);
@@ -138,7 +140,7 @@
        .m_host_cap = m_shared.m_host_cap.load(std::memory_order_relaxed),
        .m_remaining =
            request::Remaining(request.m_deadline, request.m_received_at),
-       .m_may_outlast_host = may_outlast_host && !request.m_is_repeatable});
+       .m_may_outlast_host = stop_fit == request::StopFit::kRefused});
   if (answer == steering::AdmissionAnswer::kAdmitted)
     return std::nullopt;
   m_metrics.CountRefusal(answer);
--- a/src/entry/serving_view.h
+++ b/src/entry/serving_view.h
@@ -11,12 +11,12 @@
 #include <memory>
 #include <optional>
 
-#include "core/clock.h"
 #include "gen/deployment.h"
 #include "gen/types.h"
 #include "limits/limit_table.h"
 #include "lookup/table.h"
 #include "quotas/quota_table.h"
+#include "request/stop_window.h"
 #include "steering/route_table.h"
 #include "steering/upstream_view.h"
 #include "tenants/tenant_table.h"
@@ -35,8 +35,7 @@
   std::shared_ptr<const quotas::QuotaTable> m_quotas;
   std::shared_ptr<const limits::LimitTable> m_limits;  // null: no limits
   bool m_is_refusing_requests = false;  // planned stop refuses new requests
-  // During a planned stop, the time by which admitted requests have to end.
-  std::optional<MonoTime> m_requests_end_by;
+  std::optional<request::StopWindow> m_stop;  // during a planned stop
 };
 
 }  // namespace jujube::entry
--- a/src/gen/settings.h
+++ b/src/gen/settings.h
@@ -95,8 +95,10 @@
       60000};  // maximum time that a planned stop waits for requests in
                // progress (from 0, at most 3600000)
   std::optional<std::chrono::milliseconds>
-      m_stop_limit;  // maximum duration of a planned stop as a whole; without
-                     // it, its phases are limited one by one (from 0)
+      m_stop_limit;  // maximum duration of a planned stop as a whole; a request
+                     // that may outlast the stop and arrives when less than
+                     // `drain_limit` of it is left is refused; without this
+                     // setting, the phases are limited one by one (from 0)
   std::chrono::milliseconds m_connect_timeout{
       250};  // timeout for connecting to an instance, added to four times the
              // one-way delay of the link; after it another instance is tried
--- a/src/request/host_drain.cc
+++ b/src/request/host_drain.cc
@@ -75,6 +75,15 @@
                   LatestEnd(drain, limits));
 }
 
+// The stop limit includes the phases before kWaitingForRequests. What they take
+// beyond it is lost to the requests that are admitted in them.
+MonoTime LatestFullAdmission(const HostDrain& drain,
+                             const DrainLimits& limits) {
+  return limits.m_stop_limit
+             ? LatestEnd(drain, limits) - limits.m_request_timeout
+             : MonoTime::max();
+}
+
 HostDrain Advance(const HostDrain& drain,
                   const DrainInputs& inputs,
                   const DrainLimits& limits) {
--- a/src/request/host_drain.h
+++ b/src/request/host_drain.h
@@ -81,4 +81,9 @@
 // progress. A request that is admitted during the stop has to end before it.
 MonoTime EarliestCut(const HostDrain& drain, const DrainLimits& limits);
 
+// Latest time at which a request can be admitted that still gets
+// m_request_timeout. Without a stop limit, that is any time before
+// kWaitingForRequests.
+MonoTime LatestFullAdmission(const HostDrain& drain, const DrainLimits& limits);
+
 }  // namespace jujube::request
--- a/src/steering/admission.h
+++ b/src/steering/admission.h
@@ -30,7 +30,7 @@
   std::uint32_t m_host_in_progress = 0;  // requests in progress, all services
   std::uint32_t m_host_cap = 0;          // total allotment of this host
   std::chrono::nanoseconds m_remaining{0};  // time until the deadline
-  // A non-repeatable request that may outlast the planned stop of this host.
+  // The planned stop of this host leaves the request too little time.
   bool m_may_outlast_host = false;
 
   friend auto operator<=>(const AdmissionInputs&,
--- a/tests/platform/translation_test.cc
+++ b/tests/platform/translation_test.cc
@@ -470,6 +470,9 @@
   // The planned stop ends before SIGKILL.
   EXPECT_LT(entry.m_drain_limit + milliseconds(3000), node.m_stop_timeout);
   EXPECT_LT(entry.m_stop_limit.value(), node.m_stop_timeout);
+  // A request that is sent 3 s after SIGTERM or later is not given up.
+  EXPECT_LT(entry.m_stop_limit.value() - entry.m_drain_limit,
+            milliseconds(3000));
 }
 
 // Guards against hosts with fast links whose bodies are paced.
--- a/tests/process/request_fixture.cc
+++ b/tests/process/request_fixture.cc
@@ -34,8 +34,6 @@
 // Ends a request to a daemon that hangs; no test depends on the value.
 constexpr std::chrono::seconds kCallTimeout{60};
 constexpr std::chrono::seconds kStatusTimeout{2};
-// A planned stop waits for look-ups to expire; a short lifetime keeps it short.
-constexpr milliseconds kLookupLifetime{1000};
 constexpr char kZone[] = "zone-a";
 
 Answer ToAnswer(const Result<net::HttpResponse>& response) {
@@ -134,6 +132,7 @@
          .m_operator_key_file = Path("operator.key"),
          .m_discovers_control = options.m_key_lease.has_value(),
          .m_drain_limit = options.m_drain_limit,
+         .m_stop_limit = options.m_stop_limit,
          .m_connect_timeout = options.m_connect_timeout,
          .m_key_lease = options.m_key_lease});
   }
@@ -151,19 +150,20 @@
 }
 
 void RequestSystem::CreateDeployment(const SystemOptions& options) {
-  m_deployment = {.m_number = 1,
-                  .m_name = "request tests",
-                  .m_regions = {{{"region-a"}, options.m_region_cap}},
-                  .m_availability_zones = {{{kZone}, {"region-a"}}},
-                  .m_sites = {{{"site-a"}, {kZone}}},
-                  .m_services = {{.m_name = {"log"},
-                                  .m_priority = 9,
-                                  .m_non_repeatable_methods = {"POST"},
-                                  .m_lookup_lifetime = kLookupLifetime,
-                                  .m_retry_budget_permille = 1000,
-                                  .m_slow_start = milliseconds(0)}},
-                  .m_tenants = options.m_tenants,
-                  .m_blocks = {{"127.0.0.0/8", {"site-a"}}}};
+  m_deployment = {
+      .m_number = 1,
+      .m_name = "request tests",
+      .m_regions = {{{"region-a"}, options.m_region_cap}},
+      .m_availability_zones = {{{kZone}, {"region-a"}}},
+      .m_sites = {{{"site-a"}, {kZone}}},
+      .m_services = {{.m_name = {"log"},
+                      .m_priority = 9,
+                      .m_non_repeatable_methods = {"POST"},
+                      .m_lookup_lifetime = options.m_lookup_lifetime,
+                      .m_retry_budget_permille = 1000,
+                      .m_slow_start = milliseconds(0)}},
+      .m_tenants = options.m_tenants,
+      .m_blocks = {{"127.0.0.0/8", {"site-a"}}}};
   m_deployment.m_overload_control = true;
   for (const EntrySettings& entry : m_entry_settings) {
     m_deployment.m_entry_hosts.push_back(
--- a/tests/process/request_fixture.h
+++ b/tests/process/request_fixture.h
@@ -39,6 +39,9 @@
   std::uint32_t m_region_cap = 60;  // requests in progress
   std::chrono::milliseconds m_connect_timeout{250};
   std::chrono::milliseconds m_drain_limit{60000};
+  std::optional<std::chrono::milliseconds> m_stop_limit;
+  // A planned stop waits for look-ups to expire.
+  std::chrono::milliseconds m_lookup_lifetime{1000};
   std::vector<Tenant> m_tenants;
   // If set, entry hosts discover the control hosts, each through a TcpRelay.
   // Claims of non-repeatable requests are not available then.
--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -273,6 +273,33 @@
   EXPECT_EQ(system.Entry(0).Wait(), 0);
 }
 
+// Guards against a repeatable request that is taken late in a planned stop and
+// given up at its end: with both limits equal, no time is left for one that may
+// outlast the stop, and any other one is served.
+TEST(RequestPlannedStop, RequestsWithoutTheTimeOfTheDrainLimitAreRefused) {
+  constexpr milliseconds kLimit{100000};
+  RequestSystem system({.m_drain_limit = kLimit,
+                        .m_stop_limit = kLimit,
+                        .m_lookup_lifetime = kLimit});
+  system.StartUpstream("u1");
+  system.WaitUntilServing(4);
+  system.Entry(0).Signal(SIGTERM);
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_phase != "serving";
+  });
+  const Answer served =
+      system.Send(0, {.m_target = "/s/log/short",
+                      .m_headers = {{"Jujube-Deadline-Ms", "10000"}}});
+  EXPECT_EQ(served.m_status, 200);
+  const Answer refused =
+      system.Send(0, {.m_target = "/s/log/long",
+                      .m_headers = {{"Jujube-Deadline-Ms", "600000"}}});
+  EXPECT_EQ(refused.m_status, 503);
+  EXPECT_EQ(refused.m_verdict, "not-run");
+  EXPECT_EQ(system.RunCount("/long"), 0U);
+}
+
 // ---- Frozen hosts ----------------------------------------------------------
 
 // Guards against a resumed host that uses an expired lease, whose slots were
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -7,6 +7,7 @@
 #include "request/idempotency_key.h"
 #include "request/rate_limit.h"
 #include "request/retry_after.h"
+#include "request/stop_window.h"
 
 namespace jujube::request {
 namespace {
@@ -141,6 +142,39 @@
   EXPECT_TRUE(drain.m_is_cut_short);
 }
 
+// Guards against a request that is admitted late in a planned stop and gets
+// less time than the drain limit promises, because the stop limit ends first.
+TEST(HostDrain, LatestFullAdmissionLeavesTheRequestTimeout) {
+  DrainLimits limits{.m_lookup_lifetime = milliseconds(3000),
+                     .m_request_timeout = milliseconds(2750),
+                     .m_propagation_timeout = milliseconds(500),
+                     .m_stop_limit = milliseconds(5500)};
+  HostDrain drain = StartDrain(AtMs(0));
+  for (int ms = 0; drain.m_phase != DrainPhase::kDone; ms += 50) {
+    EXPECT_EQ(LatestFullAdmission(drain, limits), AtMs(2750)) << ms;
+    drain = Advance(drain, {.m_now = AtMs(ms), .m_in_progress = 1}, limits);
+  }
+  limits.m_stop_limit.reset();
+  EXPECT_EQ(LatestFullAdmission(StartDrain(AtMs(0)), limits), MonoTime::max());
+}
+
+// Guards against a request that is cut at the end of a planned stop, and
+// against one that is refused although it ends before.
+TEST(StopWindow, RequestsThatMayOutlastTheStopAreShortenedOnlyEarly) {
+  const StopWindow window{.m_requests_end_by = AtMs(5400),
+                          .m_shortening_ends_at = AtMs(2750)};
+  const auto fit = [&](int deadline_ms, int now_ms, bool is_repeatable) {
+    return FitIntoStop(window, {.m_deadline = AtMs(deadline_ms),
+                                .m_now = AtMs(now_ms),
+                                .m_is_repeatable = is_repeatable});
+  };
+  EXPECT_EQ(fit(5400, 0, false), StopFit::kWhole);
+  EXPECT_EQ(fit(5400, 5000, true), StopFit::kWhole);
+  EXPECT_EQ(fit(5401, 0, false), StopFit::kRefused);
+  EXPECT_EQ(fit(5401, 2750, true), StopFit::kShortened);
+  EXPECT_EQ(fit(5401, 2751, true), StopFit::kRefused);
+}
+
 // Guards against a planned stop that outlasts the time after which the process
 // is killed, because the phase before the last one took longer: 0.5 s without a
 // confirmation, 3 s and 2.5 s are more than the 5.5 s before SIGKILL at 6 s.
