Check the end of a planned stop again before a request is sent

Seen: an entry host passed on requests that could not end before its planned stop, if the stop began, or came close, between their admission and the first byte to an upstream: while the body arrived, the key was claimed or the request waited for room. They were given up or cut at the end of the stop, and one that must not repeat may have run. Cause: the stop was considered at admission only, and the shortened deadline hid that the request may outlast the stop. Change: Forward compares the full deadline with the stop once more, and refuses the request unsent (503, not run, its claim released) or shortens its deadline. A claim and a wait for room take the same path and have no test of their own.

--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -77,6 +77,17 @@
   std::optional<Refusal> SpendQuota(const Request& request);
   Refusal RefuseOverQuota(const Request& request);
   std::optional<Refusal> Admit(net::HttpExchange& exchange, Request& request);
+  Refusal RefuseAdmission(const Request& request,
+                          steering::AdmissionAnswer answer);
+  // Shortens the deadline of the request to a planned stop of this host. False
+  // if the request has to be refused because of the stop.
+  static bool FitIntoStop(const ServingView& view,
+                          MonoTime now,
+                          Request& request);
+  // Refuses a request that is about to be sent and no longer fits into a
+  // planned stop.
+  std::optional<Refusal> RecheckStop(net::HttpExchange& exchange,
+                                     Request& request);
   static std::optional<Refusal> CheckKey(const Request& request);
 
   // With EntrySettings::m_waits_for_room (forwarder_room_impl.h).
--- a/src/entry/forwarder_admission_impl.h
+++ b/src/entry/forwarder_admission_impl.h
@@ -114,15 +114,8 @@
         std::min(request.m_deadline.m_time,
                  request.m_received_at + *request.m_route.m_time_limit);
   }
-  const request::StopFit stop_fit =
-      view.m_stop
-          ? request::FitIntoStop(*view.m_stop,
-                                 {.m_deadline = request.m_deadline.m_time,
-                                  .m_now = request.m_received_at,
-                                  .m_is_repeatable = request.m_is_repeatable})
-          : request::StopFit::kWhole;
-  if (stop_fit == request::StopFit::kShortened)
-    request.m_deadline.m_time = view.m_stop->m_requests_end_by;
+  request.m_full_deadline = request.m_deadline.m_time;
+  const bool fits_into_stop = FitIntoStop(view, request.m_received_at, request);
   std::optional<Refusal> bad_key = CheckKey(request);
   if (bad_key) {
     m_metrics.CountRefusal(RefusalCause::kBadKey);
@@ -140,15 +133,53 @@
        .m_host_cap = m_shared.m_host_cap.load(std::memory_order_relaxed),
        .m_remaining =
            request::Remaining(request.m_deadline, request.m_received_at),
-       .m_may_outlast_host = stop_fit == request::StopFit::kRefused});
+       .m_may_outlast_host = !fits_into_stop});
   if (answer == steering::AdmissionAnswer::kAdmitted)
     return std::nullopt;
-  m_metrics.CountRefusal(answer);
   RecordUnmetDemand(view, *service);
-  return Refusal{.m_status = 503,
-                 .m_verdict = request.VerdictWithoutClaim(),
-                 .m_reason = std::string(steering::ToString(answer)),
-                 .m_retry_after = steering::RetryAfter(answer)};
+  return RefuseAdmission(request, answer);
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+Refusal Forwarder<D, P>::RefuseAdmission(const Request& request,
+                                         steering::AdmissionAnswer answer) {
+  m_metrics.CountRefusal(answer);
+  return {.m_status = 503,
+          .m_verdict = request.VerdictWithoutClaim(),
+          .m_reason = std::string(steering::ToString(answer)),
+          .m_retry_after = steering::RetryAfter(answer)};
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+bool Forwarder<D, P>::FitIntoStop(const ServingView& view,
+                                  MonoTime now,
+                                  Request& request) {
+  if (!view.m_stop)
+    return true;
+  const request::StopFit fit = request::FitIntoStop(
+      *view.m_stop, {.m_deadline = request.m_full_deadline,
+                     .m_now = now,
+                     .m_is_repeatable = request.m_is_repeatable});
+  if (fit == request::StopFit::kShortened)
+    request.m_deadline.m_time = view.m_stop->m_requests_end_by;
+  return fit != request::StopFit::kRefused;
+}
+
+// Since the admission, a planned stop may have begun or have come closer:
+// reading the body, the claim and the wait for room take time.
+template <Dialect D, steering::SelectionPolicy P>
+std::optional<Refusal> Forwarder<D, P>::RecheckStop(net::HttpExchange& exchange,
+                                                    Request& request) {
+  const rcu::ReadSection section;
+  const ServingView& view = m_shared.m_view.Read(section);
+  if (!view.m_stop)
+    return std::nullopt;
+  if (FitIntoStop(view, MonoClock::now(), request)) {
+    exchange.SetResponseDeadline(request.m_deadline.m_time);
+    return std::nullopt;
+  }
+  request.m_verdict = request.VerdictWithoutClaim();
+  return RefuseAdmission(request, steering::AdmissionAnswer::kHostDraining);
 }
 
 template <Dialect D, steering::SelectionPolicy P>
--- a/src/entry/forwarder_attempt_impl.h
+++ b/src/entry/forwarder_attempt_impl.h
@@ -10,6 +10,12 @@
 template <Dialect D, steering::SelectionPolicy P>
 asio::awaitable<void> Forwarder<D, P>::Forward(net::HttpExchange& exchange,
                                                Request& request) {
+  const std::optional<Refusal> stop_refusal = RecheckStop(exchange, request);
+  if (stop_refusal) {
+    FinishClaim(request, std::nullopt);
+    co_await Refuse(exchange, &request, *stop_refusal);
+    co_return;
+  }
   request.m_retry_budget->OnRequest(request.m_service.m_retry_budget_permille);
   while (true) {
     // The key may have been taken away since the request was admitted.
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -166,6 +166,7 @@
   // Null if upstreams are not selected by cost.
   std::shared_ptr<steering::WorkEstimator> m_work;
   request::Deadline m_deadline;
+  MonoTime m_full_deadline;  // not shortened to a planned stop
   MonoTime m_received_at;
   bool m_is_repeatable = true;
   bool m_is_claimed = false;
--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -300,6 +301,68 @@
   EXPECT_EQ(system.RunCount("/long"), 0U);
 }
 
+// Sends the head of a repeatable request to the first entry host, without the
+// body of four bytes.
+RawSocket SendHeadTo(const RequestSystem& system) {
+  RawSocket caller = RawSocket::Connect(system.SettingsOfEntry(0).m_caller);
+  caller.Send(
+      "GET /s/log/late_body HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+      "Jujube-Deadline-Ms: 600000\r\nConnection: close\r\n\r\n");
+  return caller;
+}
+
+void ExpectRefusedUnsent(const RequestSystem& system, const RawSocket& caller) {
+  const std::string received = caller.ReadToEnd();
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 503")) << received;
+  EXPECT_NE(received.find("Jujube-Verdict: not-run"), std::string::npos)
+      << received;
+  EXPECT_EQ(system.RunCount("/late_body"), 0U);
+}
+
+// Guards against a request that is passed on without enough time, because a
+// planned stop began while its body arrived.
+TEST(RequestPlannedStop, RequestWhoseBodyArrivesDuringAStopIsRefused) {
+  constexpr milliseconds kLimit{100000};
+  RequestSystem system({.m_drain_limit = kLimit,
+                        .m_stop_limit = kLimit,
+                        .m_lookup_lifetime = kLimit});
+  system.StartUpstream("u1");
+  system.WaitUntilServing(4);
+  const RawSocket caller = SendHeadTo(system);
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_in_progress == 1;
+  });
+  system.Entry(0).Signal(SIGTERM);
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_phase != "serving";
+  });
+  caller.Send("fuel");
+  ExpectRefusedUnsent(system, caller);
+}
+
+// Guards against a request that was admitted early in a planned stop, with a
+// shorter deadline, and is passed on when too little is left until that.
+TEST(RequestPlannedStop, RequestWhoseBodyArrivesLateInAStopIsRefused) {
+  constexpr milliseconds kLimit{100000};
+  constexpr milliseconds kAdmissionTime{1000};
+  RequestSystem system({.m_drain_limit = kLimit - kAdmissionTime,
+                        .m_stop_limit = kLimit,
+                        .m_lookup_lifetime = kLimit});
+  system.StartUpstream("u1");
+  system.WaitUntilServing(4);
+  system.Entry(0).Signal(SIGTERM);
+  RequestSystem::WaitUntil([&] {
+    const auto status = system.StatusOf(0);
+    return status && status->m_phase != "serving";
+  });
+  const RawSocket caller = SendHeadTo(system);
+  std::this_thread::sleep_for(kAdmissionTime);
+  caller.Send("fuel");
+  ExpectRefusedUnsent(system, caller);
+}
+
 // ---- Frozen hosts ----------------------------------------------------------
 
 // Guards against a resumed host that uses an expired lease, whose slots were
