--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -81,9 +81,9 @@
                           steering::AdmissionAnswer answer);
   // Shortens the deadline of the request to a planned stop of this host. False
   // if the request has to be refused because of the stop.
-  static bool FitIntoStop(const ServingView& view,
-                          MonoTime now,
-                          Request& request);
+  static bool ShortenToStop(const ServingView& view,
+                            MonoTime now,
+                            Request& request);
   // Refuses a request that is about to be sent and no longer fits into a
   // planned stop.
   std::optional<Refusal> RecheckStop(net::HttpExchange& exchange,
--- a/src/entry/forwarder_admission_impl.h
+++ b/src/entry/forwarder_admission_impl.h
@@ -115,7 +115,8 @@
                  request.m_received_at + *request.m_route.m_time_limit);
   }
   request.m_full_deadline = request.m_deadline.m_time;
-  const bool fits_into_stop = FitIntoStop(view, request.m_received_at, request);
+  const bool fits_into_stop =
+      ShortenToStop(view, request.m_received_at, request);
   std::optional<Refusal> bad_key = CheckKey(request);
   if (bad_key) {
     m_metrics.CountRefusal(RefusalCause::kBadKey);
@@ -151,9 +152,9 @@
 }
 
 template <Dialect D, steering::SelectionPolicy P>
-bool Forwarder<D, P>::FitIntoStop(const ServingView& view,
-                                  MonoTime now,
-                                  Request& request) {
+bool Forwarder<D, P>::ShortenToStop(const ServingView& view,
+                                    MonoTime now,
+                                    Request& request) {
   if (!view.m_stop)
     return true;
   const request::StopFit fit = request::FitIntoStop(
@@ -174,7 +175,7 @@
   const ServingView& view = m_shared.m_view.Read(section);
   if (!view.m_stop)
     return std::nullopt;
-  if (FitIntoStop(view, MonoClock::now(), request)) {
+  if (ShortenToStop(view, MonoClock::now(), request)) {
     exchange.SetResponseDeadline(request.m_deadline.m_time);
     return std::nullopt;
   }
--- a/src/request/host_drain.cc
+++ b/src/request/host_drain.cc
@@ -75,8 +75,8 @@
                   LatestEnd(drain, limits));
 }
 
-// The stop limit includes the phases before kWaitingForRequests. What they take
-// beyond it is lost to the requests that are admitted in them.
+// The stop limit includes the phases in which requests are admitted, so the
+// time that is left to a request depends on when it arrives.
 MonoTime LatestFullAdmission(const HostDrain& drain,
                              const DrainLimits& limits) {
   return limits.m_stop_limit
--- a/src/request/stop_window.h
+++ b/src/request/stop_window.h
@@ -1,10 +1,8 @@
 // StopWindow: what a planned stop of this host leaves to a request.
 //
-//   switch (FitIntoStop(window, {.m_deadline = request.m_deadline.m_time,
-//   ...}))
-//   // kWhole      the request ends before the stop
-//   // kShortened  admitted; its deadline becomes window.m_requests_end_by
-//   // kRefused    it might be cut, so it is refused unsent
+//   const StopFit fit = FitIntoStop(window, {.m_deadline = deadline, ...});
+//   if (fit == StopFit::kShortened)
+//     deadline = window.m_requests_end_by;
 
 #pragma once
 
@@ -16,7 +14,7 @@
 namespace jujube::request {
 
 struct StopWindow {
-  MonoTime m_requests_end_by;     // admitted requests have to end by then
+  MonoTime m_requests_end_by;     // admitted requests end by then
   MonoTime m_shortening_ends_at;  // later, no deadline is shortened
 
   friend auto operator<=>(const StopWindow&, const StopWindow&) = default;
@@ -30,7 +28,11 @@
   friend auto operator<=>(const StopFitInputs&, const StopFitInputs&) = default;
 };
 
-enum class StopFit : std::uint8_t { kWhole, kShortened, kRefused };
+enum class StopFit : std::uint8_t {
+  kWhole,      // the request ends before the stop
+  kShortened,  // it may outlast the stop, and its deadline is shortened
+  kRefused,    // it may outlast the stop, and is refused unsent
+};
 
 StopFit FitIntoStop(const StopWindow& window, const StopFitInputs& inputs);
 
