Log responses that do not reach their callers, and why instances are ejected

The log of an entry host had no line for a response that was complete and whose connection ended before it was written, and InstanceEjected did not tell failed requests from connects that timed out.

Change: ResponseNotDelivered (519) names the request, the status, the time since the response existed and the reason. InstanceEjected and EjectionBounded state the consecutive failures, the connect timeouts among them and the average failure rate. No decision changes.

--- a/src/entry/control_metrics.cc
+++ b/src/entry/control_metrics.cc
@@ -51,7 +51,10 @@
       observe::Log(
           is_ejected ? LogEvent::kInstanceEjected : LogEvent::kEjectionBounded,
           {{"service", service.m_value},
-           {"instance", change.m_instance.m_value}});
+           {"instance", change.m_instance.m_value},
+           {"consecutive_failures", change.m_consecutive_failures},
+           {"connect_timeouts", change.m_connect_timeouts},
+           {"failure_permille", change.m_failure_permille}});
     }
   }
   previous = std::move(suppressed);
--- a/src/entry/forwarder.h
+++ b/src/entry/forwarder.h
@@ -61,7 +61,14 @@
                                       Refusal refusal);
   static boost::asio::awaitable<void> RespondRefusal(
       net::HttpExchange& exchange,
+      const Route* route,
       const Refusal& refusal);
+  // A response that exists since `ready_at` did not reach the caller. `route`
+  // is null if none was determined.
+  static void LogUndelivered(const Route* route,
+                             std::uint16_t status,
+                             MonoTime ready_at,
+                             const Error& error);
   void LogAttempt(const Request& request,
                   const AttemptResult& result,
                   bool is_retried) const;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -70,6 +70,10 @@
 // new configuration arrives within about a second.
 inline constexpr std::chrono::milliseconds kRetryAfter{1000};
 
+inline milliseconds ToMilliseconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration_cast<milliseconds>(duration);
+}
+
 inline std::uint16_t StatusOf(request::CallerAnswer answer) {
   switch (answer) {
     case request::CallerAnswer::kUnavailable:
@@ -340,7 +344,7 @@
   }
   if (request != nullptr && request->m_room_state != nullptr) {
     LogRefusalWithRoom(*request, refusal);
-    co_await RespondRefusal(exchange, refusal);
+    co_await RespondRefusal(exchange, route, refusal);
     co_return;
   }
   observe::Log(
@@ -352,16 +356,36 @@
        {"status", refusal.m_status},
        {"verdict", VerdictText(refusal.m_verdict)},
        {"reason", refusal.m_reason}});
-  co_await RespondRefusal(exchange, refusal);
+  co_await RespondRefusal(exchange, route, refusal);
 }
 
 template <Dialect D, steering::SelectionPolicy P>
 asio::awaitable<void> Forwarder<D, P>::RespondRefusal(
     net::HttpExchange& exchange,
+    const Route* route,
     const Refusal& refusal) {
   const std::string body = D::RefusalText(refusal);
   ResponseHead head = D::RefusalHead(refusal);
-  co_await exchange.Respond(std::move(head), body);
+  const std::uint16_t status = head.m_status;
+  const MonoTime ready_at = MonoClock::now();
+  const Status sent = co_await exchange.Respond(std::move(head), body);
+  if (!sent)
+    LogUndelivered(route, status, ready_at, sent.error());
+}
+
+template <Dialect D, steering::SelectionPolicy P>
+void Forwarder<D, P>::LogUndelivered(const Route* route,
+                                     std::uint16_t status,
+                                     MonoTime ready_at,
+                                     const Error& error) {
+  observe::Log(
+      LogEvent::kResponseNotDelivered,
+      {{"request", route != nullptr ? route->m_request_id : std::string()},
+       {"route", route != nullptr ? route->m_rule_name : std::string()},
+       {"status", status},
+       {"waited_ms",
+        forwarder_internal::ToMilliseconds(MonoClock::now() - ready_at)},
+       {"reason", error.m_message}});
 }
 
 template <Dialect D, steering::SelectionPolicy P>
@@ -393,21 +417,27 @@
   ResponseHead head{.m_status = result.m_response->m_status,
                     .m_headers = std::move(result.m_response->m_headers)};
   const std::string& body = result.m_response->m_body;
+  const std::uint16_t response_status = head.m_status;
+  const MonoTime ready_at = MonoClock::now();
+  Status status = Success();
   if (m_shared.m_link.HasRate() &&
       body.size() > limits::HostLink::kMaxSmallBytes) {
     head.m_content_length = body.size();
-    Status status = co_await exchange.Begin(std::move(head));
+    status = co_await exchange.Begin(std::move(head));
     if (status) {
       status = co_await WriteInTurn(exchange, m_shared.m_link, body,
                                     request.m_deadline.m_time);
     }
     if (status)
-      co_await exchange.End();
+      status = co_await exchange.End();
   } else {
     m_shared.m_link.Record(limits::LinkSide::kOut,
                            body.size() + attempt_internal::kHeadBytes,
                            MonoClock::now());
-    co_await exchange.Respond(std::move(head), body);
+    status = co_await exchange.Respond(std::move(head), body);
+  }
+  if (!status) {
+    LogUndelivered(&request.m_route, response_status, ready_at, status.error());
   }
   if (request.m_route.m_is_upload && !exchange.IsBodyRead()) {
     co_await exchange.DiscardBody(
--- a/src/entry/forwarder_room_impl.h
+++ b/src/entry/forwarder_room_impl.h
@@ -8,14 +8,6 @@
 
 namespace jujube::entry {
 
-namespace forwarder_internal {
-
-inline milliseconds ToMilliseconds(std::chrono::nanoseconds duration) {
-  return std::chrono::duration_cast<milliseconds>(duration);
-}
-
-}  // namespace forwarder_internal
-
 template <Dialect D, steering::SelectionPolicy P>
 void Forwarder<D, P>::PrepareRoom(const net::HttpExchange& exchange,
                                   const steering::ServiceUpstreams& service,
--- a/src/gen/log_events.cc
+++ b/src/gen/log_events.cc
@@ -203,6 +203,9 @@
     case LogEvent::kRequestCost:
       return {518, LogLevel::kDebug, "RequestCost",
               "expected and observed work of a request"};
+    case LogEvent::kResponseNotDelivered:
+      return {519, LogLevel::kInfo, "ResponseNotDelivered",
+              "response not delivered"};
   }
   return {0, LogLevel::kError, "Unknown", "unknown event"};
 }
--- a/src/gen/log_events.h
+++ b/src/gen/log_events.h
@@ -76,18 +76,19 @@
   kEjectionBounded = 412,  // failing instance not ejected
   kShiftStep = 430,      // step of a shift of callers between regions proposed
   kHostDrainStep = 440,  // drain of this entry host advanced
-  kHostDrainCutShort = 441,  // drain ended with requests in progress
-  kDocumentUnusable = 500,   // document in force cannot be used for look-ups
-  kDrainStarted = 501,       // planned stop started
-  kRequestRefused = 510,     // request refused
-  kAttemptFailed = 511,      // attempt at an upstream failed
-  kSettingsReloaded = 512,   // settings reloaded
-  kKeyLeaseExpired = 513,    // requests with keys are refused
-  kKeyLeaseRenewed = 514,    // requests with keys are accepted again
-  kTenantAtLimit = 515,      // tenant reached its quota on this host
-  kTenantBelowLimit = 516,   // tenant is within its quota again on this host
-  kRequestWaited = 517,      // request waited for room at an upstream
-  kRequestCost = 518,        // expected and observed work of a request
+  kHostDrainCutShort = 441,     // drain ended with requests in progress
+  kDocumentUnusable = 500,      // document in force cannot be used for look-ups
+  kDrainStarted = 501,          // planned stop started
+  kRequestRefused = 510,        // request refused
+  kAttemptFailed = 511,         // attempt at an upstream failed
+  kSettingsReloaded = 512,      // settings reloaded
+  kKeyLeaseExpired = 513,       // requests with keys are refused
+  kKeyLeaseRenewed = 514,       // requests with keys are accepted again
+  kTenantAtLimit = 515,         // tenant reached its quota on this host
+  kTenantBelowLimit = 516,      // tenant is within its quota again on this host
+  kRequestWaited = 517,         // request waited for room at an upstream
+  kRequestCost = 518,           // expected and observed work of a request
+  kResponseNotDelivered = 519,  // response not delivered
 };
 
 struct LogEventInfo {
--- a/src/steering/ejection_change.h
+++ b/src/steering/ejection_change.h
@@ -19,6 +19,10 @@
   InstanceId m_instance;
   Kind m_kind = Kind::kEjected;
   MonoTime m_until;  // end of the ejection, if ejected
+  // Why: as observed before the ejection.
+  std::uint32_t m_consecutive_failures = 0;  // weighted
+  std::uint32_t m_connect_timeouts = 0;      // consecutive
+  std::uint32_t m_failure_permille = 0;
 
   friend auto operator<=>(const EjectionChange&,
                           const EjectionChange&) = default;
--- a/src/steering/instance_counters.cc
+++ b/src/steering/instance_counters.cc
@@ -75,12 +75,14 @@
   if (outcome == Outcome::kSuccess) {
     m_latency_ns.Add(latency.count());
     m_consecutive_failures.store(0, std::memory_order_relaxed);
+    m_connect_timeouts.store(0, std::memory_order_relaxed);
   }
   if (outcome == Outcome::kFailure)
     m_consecutive_failures.fetch_add(1, std::memory_order_relaxed);
   if (outcome == Outcome::kUnreachable) {
     m_consecutive_failures.fetch_add(kUnreachableFailureWeight,
                                      std::memory_order_relaxed);
+    m_connect_timeouts.fetch_add(1, std::memory_order_relaxed);
   }
   if (outcome == Outcome::kGone)
     m_replaced_until.store(now + kReplacedDuration, std::memory_order_relaxed);
@@ -151,6 +153,7 @@
           static_cast<std::uint32_t>(m_shed_permille.Value().value_or(0)),
       .m_consecutive_failures =
           m_consecutive_failures.load(std::memory_order_relaxed),
+      .m_connect_timeouts = m_connect_timeouts.load(std::memory_order_relaxed),
       .m_outcome_count = m_outcome_count.load(std::memory_order_relaxed),
       .m_last_outcome_at = m_last_outcome_at.load(std::memory_order_relaxed),
       .m_ejected_until = m_ejected_until.load(std::memory_order_acquire),
@@ -177,6 +180,7 @@
 void InstanceCounters::Eject(MonoTime until) {
   m_ejection_count.fetch_add(1, std::memory_order_relaxed);
   m_consecutive_failures.store(0, std::memory_order_relaxed);
+  m_connect_timeouts.store(0, std::memory_order_relaxed);
   m_outcome_count.store(0, std::memory_order_relaxed);
   m_latency_ns.Reset();
   m_failure_permille.Reset();
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -96,6 +96,7 @@
 
   std::atomic<std::uint32_t> m_in_progress = 0;
   std::atomic<std::uint32_t> m_consecutive_failures = 0;
+  std::atomic<std::uint32_t> m_connect_timeouts = 0;
   std::atomic<std::uint32_t> m_outcome_count = 0;
   std::atomic<std::uint32_t> m_ejection_count = 0;
   std::atomic<MonoTime> m_last_cold_request_at{MonoTime{}};
--- a/src/steering/observation.h
+++ b/src/steering/observation.h
@@ -26,6 +26,7 @@
   std::uint32_t m_failure_permille = 0;               // average of failures
   std::uint32_t m_shed_permille = 0;                  // average of refusals
   std::uint32_t m_consecutive_failures = 0;  // weighted, since the last success
+  std::uint32_t m_connect_timeouts = 0;      // of these failures, unweighted
   std::uint32_t m_outcome_count = 0;         // since the last ejection
   MonoTime m_last_outcome_at;                // epoch: none yet
   MonoTime m_ejected_until;                  // epoch: never ejected
--- a/src/steering/outlier_ejector.cc
+++ b/src/steering/outlier_ejector.cc
@@ -68,7 +68,10 @@
   for (const auto& [observation, upstream] : failing) {
     EjectionChange change{
         .m_instance = upstream->m_member.m_announcement.m_instance,
-        .m_kind = EjectionChange::Kind::kBounded};
+        .m_kind = EjectionChange::Kind::kBounded,
+        .m_consecutive_failures = observation.m_consecutive_failures,
+        .m_connect_timeouts = observation.m_connect_timeouts,
+        .m_failure_permille = observation.m_failure_permille};
     if (excluded_count < max_ejected) {
       ++excluded_count;
       change.m_kind = EjectionChange::Kind::kEjected;
