--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -356,6 +356,43 @@
   ExpectRefusedUnsent(system, caller);
 }
 
+// Returns true if the first entry host has ejected an instance.
+bool HasEjected(const RequestSystem& system) {
+  const Answer metrics = system.CallOperator(
+      system.SettingsOfEntry(0).m_operator, {.m_target = "/metrics"});
+  return metrics.m_body.find("jujube_upstreams_ejected{service=\"log\"} 1") !=
+         std::string::npos;
+}
+
+// Guards against a request that is given up in a planned stop while its
+// instance works on it, because other requests to that instance failed.
+TEST(RequestPlannedStop, RequestsAtAnEjectedInstanceKeepTheirResponses) {
+  constexpr std::size_t kRequests = 9;
+  RequestSystem system({.m_lookup_lifetime = milliseconds(100000)});
+  // By default, one instance of three may be ejected.
+  for (const char* name : {"u1", "u2", "u3"})
+    system.StartUpstream(name);
+  system.WaitUntilServing(12);
+  std::vector<std::future<Answer>> responses;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    responses.push_back(std::async(std::launch::async, [&] {
+      return system.Send(0, {.m_target = "/s/log/held?delay_ms=8000"});
+    }));
+  }
+  RequestSystem::WaitUntil(
+      [&] { return system.RunCount("/held") == kRequests; });
+  BeginPlannedStop(system);
+  RequestSystem::WaitUntil([&] {
+    for (int i = 0; i < 10; ++i)
+      system.Send(0, {.m_target = "/s/log/bad?status=500"});
+    return HasEjected(system);
+  });
+  for (std::future<Answer>& response : responses)
+    EXPECT_EQ(response.get().m_status, 200);
+  // No request was made again elsewhere.
+  EXPECT_EQ(system.RunCount("/held"), kRequests);
+}
+
 // ---- Frozen hosts ----------------------------------------------------------
 
 // Guards against a resumed host that uses an expired lease, whose slots were
--- a/tests/process/upload_attempt_test.cc
+++ b/tests/process/upload_attempt_test.cc
@@ -34,6 +34,7 @@
 
 constexpr char kEndOfHead[] = "\r\n\r\n";
 constexpr std::size_t kBodyBytes = 360000;
+constexpr std::uint64_t kLinkKbitPerSecond = 2600;
 constexpr char kResponse[] =
     "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 4\r\n\r\n"
     "done";
@@ -58,6 +59,7 @@
         m_listener(m_io, [this](net::HttpExchange& exchange) {
           return Handle(exchange);
         }) {
+    m_link.SetActive(false);
     EXPECT_TRUE(m_listener.Listen(m_caller_endpoint));
     m_thread = std::thread([this] { m_io.run(); });
   }
@@ -124,7 +126,7 @@
   boost::asio::io_context m_io;
   rcu::Cell<entry::ServingView> m_view{
       std::make_unique<const entry::ServingView>()};
-  limits::HostLink m_link{std::nullopt};
+  limits::HostLink m_link{kLinkKbitPerSecond};
   std::atomic<MonoTime> m_lease_end{MonoTime::max()};
   entry::ConnectionPool m_pool{m_io.get_executor(), 4, true};
   entry::AttemptWatch m_watch{m_io.get_executor()};
@@ -243,6 +245,30 @@
   sender.join();
 }
 
+// Guards against a request that is given up at its instance before its
+// deadline, because the link of the host is expected to be busy until then.
+TEST_F(UploadAttempt, BusyLinkEndsNoAttemptBeforeItsDeadline) {
+  // The link is taken for a minute in each direction.
+  constexpr std::uint64_t kBacklogBytes = kLinkKbitPerSecond * 1000 / 8 * 60;
+  const MonoTime now = MonoClock::now();
+  m_link.SetActive(true);
+  m_link.Record(limits::LinkSide::kOut, kBacklogBytes, now);
+  m_link.Record(limits::LinkSide::kIn, kBacklogBytes, now);
+  const std::string large_response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 20004\r\n\r\n" +
+      std::string(20000, 'x') + "done";
+  const RawSocket caller = Connect();
+  std::thread sender(
+      [&] { caller.Send(Head() + std::string(kBodyBytes - 3, 'x') + "end"); });
+  const RawSocket upstream = m_upstream_listener.Accept();
+  EXPECT_TRUE(upstream.ReadUntil("end"));
+  upstream.Send(large_response);
+  EXPECT_TRUE(caller.ReadUntil("done"));
+  const Outcome outcome = m_outcome.get_future().get();
+  EXPECT_FALSE(outcome.m_first.m_failure) << outcome.m_first.m_error;
+  sender.join();
+}
+
 // Guards against a caller that sends slowly and keeps an upstream and memory
 // occupied beyond the time limit of its request.
 TEST_F(UploadAttempt, SlowCallerIsLeftAtTheDeadline) {
