Pass bodies on at once when the link is busy until their deadline

Cause: WaitForTurn() gave up as soon as the link of the host was expected to be busy until the deadline. WriteInTurn() then cut a response whose head had been written, so the connection was closed, and with it the responses behind it. Attempts that were sending an upload or reading a response ended with 504.

Change: a chunk whose turn would come after the deadline does not wait. The deadline itself still ends an attempt, by the timers of its connection.

--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -317,14 +317,7 @@
 
 template <Dialect D>
 asio::awaitable<bool> AttemptRunner<D>::SendInTurn(std::string_view data) {
-  const bool has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kOut,
-                                             data.size(), m_deadline);
-  if (!has_turn) {
-    SetFailure(Failure::kTimeout,
-               MakeError(ErrorCode::kTimeout,
-                         "link of this host: no turn before the deadline"));
-    co_return false;
-  }
+  co_await WaitForTurn(m_link, limits::LinkSide::kOut, data.size(), m_deadline);
   co_return co_await SendBodyChunk(data);
 }
 
@@ -375,13 +368,9 @@
     co_return std::nullopt;
   }
   const std::size_t bytes = count.value();
-  // GCC 12 miscompiles co_await in an operand of && in an initializer.
-  bool has_capacity =
-      co_await WaitForTurn(m_link, limits::LinkSide::kIn, bytes, m_deadline);
-  if (has_capacity) {
-    has_capacity = co_await m_pacer.WaitForCapacity(LinkDirection::kToUpstream,
-                                                    bytes, m_deadline);
-  }
+  co_await WaitForTurn(m_link, limits::LinkSide::kIn, bytes, m_deadline);
+  const bool has_capacity = co_await m_pacer.WaitForCapacity(
+      LinkDirection::kToUpstream, bytes, m_deadline);
   if (!has_capacity) {
     SetFailure(Failure::kTimeout,
                MakeError(ErrorCode::kTimeout,
@@ -462,18 +451,11 @@
     co_return std::nullopt;
   }
   m_response_body_bytes += count.value();
-  bool has_turn = true;
   if (m_response_body_bytes <= limits::HostLink::kMaxSmallBytes) {
     m_link.Record(limits::LinkSide::kIn, count.value(), MonoClock::now());
   } else {
-    has_turn = co_await WaitForTurn(m_link, limits::LinkSide::kIn,
-                                    count.value(), m_deadline);
-  }
-  if (!has_turn) {
-    SetFailure(Failure::kTimeout,
-               MakeError(ErrorCode::kTimeout,
-                         "link of this host: no turn before the deadline"));
-    co_return std::nullopt;
+    co_await WaitForTurn(m_link, limits::LinkSide::kIn, count.value(),
+                         m_deadline);
   }
   if (!co_await m_pacer.WaitForCapacity(LinkDirection::kFromUpstream,
                                         count.value(), m_deadline)) {
--- a/src/entry/link_turn.cc
+++ b/src/entry/link_turn.cc
@@ -18,22 +18,21 @@
 
 }  // namespace
 
-asio::awaitable<bool> WaitForTurn(limits::HostLink& link,
+// The turn only spreads the rate of the link over the bodies. When the link is
+// busy until the deadline, giving the body up would break off a request at its
+// upstream, or a response on a connection that carries others.
+asio::awaitable<void> WaitForTurn(limits::HostLink& link,
                                   limits::LinkSide side,
                                   std::size_t bytes,
                                   MonoTime deadline) {
   if (!link.HasRate())
-    co_return true;
+    co_return;
   const MonoTime now = MonoClock::now();
-  // A chunk that cannot be passed on in time does not reserve the link.
-  if (now + link.Backlog(side, now) >= deadline)
-    co_return false;
   const MonoTime start = link.Reserve(side, bytes, now);
-  if (start - now < kMinWait)
-    co_return true;
+  if (start - now < kMinWait || start >= deadline)
+    co_return;
   asio::steady_timer timer(co_await asio::this_coro::executor, start - now);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  co_return MonoClock::now() < deadline;
 }
 
 asio::awaitable<Status> WriteInTurn(net::HttpExchange& exchange,
@@ -44,12 +43,7 @@
     co_return co_await exchange.Write(data);
   while (!data.empty()) {
     const std::string_view chunk = data.substr(0, link.ChunkBytes());
-    const bool has_turn = co_await WaitForTurn(link, limits::LinkSide::kOut,
-                                               chunk.size(), deadline);
-    if (!has_turn) {
-      co_return MakeError(ErrorCode::kTimeout,
-                          "link of this host: no turn before the deadline");
-    }
+    co_await WaitForTurn(link, limits::LinkSide::kOut, chunk.size(), deadline);
     const Status written = co_await exchange.Write(chunk);
     if (!written)
       co_return written;
--- a/src/entry/link_turn.h
+++ b/src/entry/link_turn.h
@@ -14,9 +14,9 @@
 
 namespace jujube::entry {
 
-// Returns true once a chunk of a large body may be passed on, false if its turn
-// comes after the deadline.
-boost::asio::awaitable<bool> WaitForTurn(limits::HostLink& link,
+// Waits until a chunk of a large body may be passed on. A chunk whose turn
+// would come after the deadline does not wait.
+boost::asio::awaitable<void> WaitForTurn(limits::HostLink& link,
                                          limits::LinkSide side,
                                          std::size_t bytes,
                                          MonoTime deadline);
