Keep attempts at ejected instances

At other times too, the request was made again elsewhere or failed.

Cause: AttemptWatch cancelled all repeatable attempts that waited at an instance when outlier ejection excluded it. Ejection follows from other requests: connects that time out because the link of the host is busy or the instance is full, and requests that reach their time limit. None of that says that this attempt is lost.

Change: only the response of another instance at the address (421) cancels pending attempts, since that shows that the instance is gone. Any other attempt ends by its own connection: a response, a close, a reset, or its deadline. Attempts at a machine that lost power now wait for their deadline.

--- a/src/entry/attempt_runner.h
+++ b/src/entry/attempt_runner.h
@@ -66,7 +66,7 @@
   std::optional<StoredAnswer> m_response;  // buffered, not sent to the caller
   // Status 421: another instance uses the address.
   bool m_is_misdirected = false;
-  // Cancelled because the instance was ejected or is gone.
+  // Cancelled because another instance responds at the address.
   bool m_is_cancelled = false;
   // The connection was neither accepted nor refused in time.
   bool m_is_connect_timeout = false;
--- a/src/entry/attempt_runner_impl.h
+++ b/src/entry/attempt_runner_impl.h
@@ -431,10 +431,9 @@
     SetFailure(Failure::kCallerDisconnected,
                MakeError(ErrorCode::kIo, "the caller closed its connection"));
   } else if (m_result.m_is_cancelled) {
-    SetFailure(
-        Failure::kResponseTruncated,
-        MakeError(ErrorCode::kIo,
-                  "the instance was taken out of use during the request"));
+    SetFailure(Failure::kResponseTruncated,
+               MakeError(ErrorCode::kIo,
+                         "the instance was replaced during the request"));
   } else {
     SetFailure(Failure::kResponseTruncated, head.error());
   }
--- a/src/entry/attempt_watch.cc
+++ b/src/entry/attempt_watch.cc
@@ -5,7 +5,7 @@
 namespace jujube::entry {
 namespace {
 
-// Twice the interval at which the control thread evaluates outliers.
+// Short compared with the time limits of requests.
 constexpr std::chrono::milliseconds kCheckInterval{100};
 
 }  // namespace
@@ -35,15 +35,15 @@
     if (error)
       return;
     m_is_scheduled = false;
-    CancelAtUnusableInstances(MonoClock::now());
+    CancelAtReplacedInstances(MonoClock::now());
     if (!m_pending_attempts.empty())
       ScheduleCheck();
   });
 }
 
-void AttemptWatch::CancelAtUnusableInstances(MonoTime now) {
+void AttemptWatch::CancelAtReplacedInstances(MonoTime now) {
   for (const PendingAttempt& pending : m_pending_attempts) {
-    if (pending.m_counters.IsSetAside(now))
+    if (pending.m_counters.IsReplaced(now))
       pending.m_cancel();
   }
 }
--- a/src/entry/attempt_watch.h
+++ b/src/entry/attempt_watch.h
@@ -1,9 +1,13 @@
-// AttemptWatch: cancels pending attempts at instances that are ejected or gone.
+// AttemptWatch: cancels pending attempts at instances that have been replaced.
 //
-// An instance that lost power sends no response and no reset, so a pending
-// attempt would wait until its deadline. Other requests that fail to connect
-// get the instance ejected; its pending attempts are then cancelled and can be
-// retried at another instance.
+// The machine of an instance that lost power sends no response and no reset, so
+// a pending attempt would wait until its deadline. Once another instance
+// responds at the address, the pending attempts are cancelled and can be made
+// elsewhere.
+//
+// The ejection of an instance cancels nothing: it follows from other requests,
+// and connects also time out on a busy link or at a full instance that works on
+// what it has.
 //
 //   const AttemptWatch::Registration registration(
 //       watch, counters, [&] { connection.Close(); });
@@ -38,7 +42,7 @@
   };
 
   void ScheduleCheck();
-  void CancelAtUnusableInstances(MonoTime now);
+  void CancelAtReplacedInstances(MonoTime now);
 
   boost::asio::steady_timer m_timer;
   bool m_is_scheduled = false;
--- a/src/entry/forwarder_impl.h
+++ b/src/entry/forwarder_impl.h
@@ -100,8 +100,8 @@
     return steering::Outcome::kShed;
   if (result.m_is_connect_timeout && !result.m_is_link_busy)
     return steering::Outcome::kUnreachable;
-  // The instance was ejected or is gone because of other requests, which have
-  // been counted, or it got no request.
+  // The instance is gone, which the response of another one has shown, or it
+  // got no request.
   if (result.m_is_cancelled || result.m_is_withheld || result.m_is_link_busy)
     return std::nullopt;
   const request::FailureDecision decision = request::DecideOnFailure(
--- a/src/steering/instance_counters.h
+++ b/src/steering/instance_counters.h
@@ -52,11 +52,16 @@
   // Load as last reported.
   ReportedLoad Load() const;
 
-  // Ejected or replaced: no requests may be sent to the instance, and requests
-  // already sent to it are considered lost.
+  // Ejected or replaced: no requests may be sent to the instance. Requests
+  // already sent to it may still be answered.
   bool IsSetAside(MonoTime now) const {
     return now < m_ejected_until.load(std::memory_order_acquire) ||
-           now < m_replaced_until.load(std::memory_order_relaxed);
+           IsReplaced(now);
+  }
+  // Another instance responds at the address: requests already sent to this one
+  // are lost.
+  bool IsReplaced(MonoTime now) const {
+    return now < m_replaced_until.load(std::memory_order_relaxed);
   }
 
   // False if the instance wants no request now, as it stated itself. To be
