Refuse requests before counting them at the end of a planned stop

What callers saw: nothing was reported.

Cause: Advance() passed through all phases whose condition held, so a host without requests in progress went from the look-up phase to its end in one step. The view that refuses requests was published only after the threads had been told to stop.

Change: Advance() always stops at the beginning of kWaitingForRequests. The next tick counts the requests, after the refusal is in force.

--- a/src/request/host_drain.cc
+++ b/src/request/host_drain.cc
@@ -93,6 +93,10 @@
     if (next == current)
       return current;
     current = next;
+    // The count in `inputs` may miss a request that is being admitted: further
+    // ones are refused only once the caller has acted on this phase.
+    if (current.m_phase == DrainPhase::kWaitingForRequests)
+      return current;
   }
 }
 
--- a/src/request/host_drain.h
+++ b/src/request/host_drain.h
@@ -72,7 +72,8 @@
 
 HostDrain StartDrain(MonoTime now);
 
-// Advances through every phase whose condition is met.
+// Advances through every phase whose condition is met, but always stops at the
+// beginning of kWaitingForRequests.
 HostDrain Advance(const HostDrain& drain,
                   const DrainInputs& inputs,
                   const DrainLimits& limits);
--- a/tests/unit/request_values_test.cc
+++ b/tests/unit/request_values_test.cc
@@ -106,6 +106,23 @@
   EXPECT_FALSE(drain.m_is_cut_short);
 }
 
+// Guards against a host that exits before it refuses requests: one that is
+// admitted between the count of requests in progress and the exit is passed on
+// and cut.
+TEST(HostDrain, CountsRequestsOnlyOnceItRefusesFurtherOnes) {
+  const DrainLimits limits{.m_lookup_lifetime = milliseconds(3000),
+                           .m_request_timeout = milliseconds(2500)};
+  HostDrain drain = StartDrain(AtMs(0));
+  const DrainInputs last_lookup_used{.m_now = AtMs(3000),
+                                     .m_is_omitted_everywhere = true};
+  drain = Advance(drain, {.m_now = AtMs(0), .m_is_omitted_everywhere = true},
+                  limits);
+  drain = Advance(drain, last_lookup_used, limits);
+  EXPECT_EQ(drain.m_phase, DrainPhase::kWaitingForRequests);
+  drain = Advance(drain, last_lookup_used, limits);
+  EXPECT_EQ(drain.m_phase, DrainPhase::kDone);
+}
+
 // Guards against a shutdown that never completes.
 TEST(HostDrain, EndsWithoutPeersAndDespiteAStuckRequest) {
   const DrainLimits limits{.m_lookup_lifetime = milliseconds(5000),
