Read what a caller still sends before its connection is closed

What callers saw: nothing was reported. In a planned stop, a caller that sends its next request before it has the last response can lose the rest of that response.

Cause: ServeConnection() shut down its sending direction and destroyed the socket. With bytes of a further request unread, the kernel resets the connection and drops what the caller has not received yet.

Change: after the last response, what the caller sends is read and discarded until the caller closes, for up to 1 s and 64 KiB.

--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -43,6 +43,9 @@
 // is closed. Closing a socket with unread data resets the connection, and the
 // caller could lose the response.
 constexpr std::size_t kMaxDiscardedBytes = 65536;
+// Time for a caller to close its side after the last response: several round
+// trips between regions.
+constexpr std::chrono::seconds kMaxLingerTime{1};
 
 using ReusePort =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -127,6 +130,21 @@
   stream.expires_after(timeout);
 }
 
+// Reads and discards what the caller sends until it closes its side, within the
+// limits above.
+asio::awaitable<void> DiscardUntilClosed(beast::tcp_stream& stream) {
+  SetTimeout(stream, kMaxLingerTime);
+  std::array<char, 4096> chunk{};
+  std::size_t discarded = 0;
+  while (discarded < kMaxDiscardedBytes) {
+    auto [error, count] =
+        co_await stream.async_read_some(asio::buffer(chunk), kTuple);
+    if (error)
+      co_return;
+    discarded += count;
+  }
+}
+
 std::chrono::milliseconds WriteTimeout(const HttpExchangeState& state) {
   if (!state.m_response_deadline)
     return state.m_body_timeout;
@@ -470,6 +488,8 @@
   connection->m_idle_timer.cancel();
   m_idle_streams.erase(&connection->m_stream);
   connection->m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  if (!connection->m_is_caller_gone)
+    co_await DiscardUntilClosed(connection->m_stream);
   m_open_connections.fetch_sub(1, std::memory_order_relaxed);
 }
 
--- a/tests/unit/net_http_listener_test.cc
+++ b/tests/unit/net_http_listener_test.cc
@@ -7,6 +7,9 @@
 #include <string>
 #include <thread>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <gtest/gtest.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
@@ -64,6 +67,10 @@
   void WaitUntilStarted(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests.contains(target); });
   }
+  // Its response was written, and what this causes on the thread is done.
+  void WaitUntilFinished(const std::string& target) {
+    m_thread.WaitUntil([&] { return m_requests[target].m_is_finished; });
+  }
   bool IsStarted(const std::string& target) {
     bool is_started = false;
     m_thread.Run([&] { is_started = m_requests.contains(target); });
@@ -72,8 +79,12 @@
   void WaitUntilCallerGone(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests[target].m_is_caller_gone; });
   }
-  void Respond(const std::string& target) {
-    m_thread.Run([&] { m_requests[target].m_is_released = true; });
+  void Respond(const std::string& target) { RespondWith(target, target); }
+  void RespondWith(const std::string& target, const std::string& body) {
+    m_thread.Run([&] {
+      m_requests[target].m_body = body;
+      m_requests[target].m_is_released = true;
+    });
     Wake();
   }
   // Ends the request without a response.
@@ -87,6 +98,8 @@
     bool m_is_released = false;
     bool m_is_abandoned = false;
     bool m_is_caller_gone = false;
+    bool m_is_finished = false;
+    std::string m_body;  // of the response
   };
 
   void Wake() {
@@ -116,8 +129,9 @@
     exchange.Unwatch();
     if (!request.m_is_abandoned) {
       ResponseHead head{.m_status = 200};
-      co_await exchange.Respond(std::move(head), target);
+      co_await exchange.Respond(std::move(head), request.m_body);
     }
+    request.m_is_finished = true;
     --m_in_progress;
   }
 
@@ -134,6 +148,13 @@
   explicit Caller(const ManualServer& server) {
     m_socket.connect(server.Address());
   }
+  // Larger responses stay in the send buffer of the server until they are read.
+  Caller(const ManualServer& server, int receive_buffer_bytes) {
+    m_socket.open(tcp::v4());
+    m_socket.set_option(
+        asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    m_socket.connect(server.Address());
+  }
   // `further` is sent with the request, in one write.
   void Send(const std::string& method,
             const std::string& target,
@@ -142,7 +163,15 @@
                 asio::buffer(method + " " + target +
                              " HTTP/1.1\r\nHost: a\r\n\r\n" + further));
   }
-  // Returns the body of the next response, or "closed".
+  // Waits until everything sent is in the receive buffer of the server.
+  void WaitUntilReceived() {
+    int unacknowledged = 0;
+    do {
+      ASSERT_EQ(::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged),
+                0);
+    } while (unacknowledged > 0);
+  }
+  // Returns the body of the next response, "closed" or "truncated".
   std::string Read() {
     boost::system::error_code error;
     const std::size_t head_size =
@@ -156,10 +185,12 @@
     m_is_closing = head.find("Connection: close") != std::string::npos;
     const std::size_t field = head.find("Content-Length: ");
     const std::size_t size = std::stoul(head.substr(field + 16));
-    while (m_buffer.size() < size) {
+    while (m_buffer.size() < size && !error) {
       m_buffer.commit(
-          m_socket.read_some(m_buffer.prepare(size - m_buffer.size())));
+          m_socket.read_some(m_buffer.prepare(size - m_buffer.size()), error));
     }
+    if (m_buffer.size() < size)
+      return "truncated";
     std::string body(asio::buffers_begin(m_buffer.data()),
                      asio::buffers_begin(m_buffer.data()) +
                          static_cast<std::ptrdiff_t>(size));
@@ -290,5 +321,22 @@
   EXPECT_EQ(caller.Read(), "closed");
 }
 
+// Guards against a connection that is closed while bytes of a further request
+// are unread: the kernel resets it and drops the rest of the last response.
+TEST(HttpListenerClose, LastResponseArrivesAlthoughAFurtherRequestIsUnread) {
+  const std::string body(65536, 'x');
+  ManualServer server(4);
+  Caller caller(server, 4096);
+  caller.Send("DELETE", "/1");
+  server.WaitUntilStarted("/1");
+  server.Listener().AnnounceClose();
+  caller.Send("GET", "/2");
+  caller.WaitUntilReceived();
+  server.RespondWith("/1", body);
+  server.WaitUntilFinished("/1");
+  EXPECT_EQ(caller.Read(), body);
+  EXPECT_TRUE(caller.IsClosing());
+}
+
 }  // namespace
 }  // namespace jujube::net
