Do not count a connection as idle while a request is in progress on it

What callers saw: nothing was reported. The request of a caller could end without a response when a host closes its idle connections at the end of a planned stop.

Cause: a request that must not overlap waits for the earlier responses. The end of the last of them marks the connection as idle, and the waiting request did not undo that.

Change: each request that begins removes the connection from the idle ones.

Evidence: HttpListenerClose.RequestThatWaitedForEarlierResponsesContinues failed in 10 of 10 runs before, the caller was reported as gone, and passes now.

--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -562,6 +562,10 @@
   // sends this request again.
   if (order.IsEnding())
     co_return false;
+  // The end of an earlier request may have marked the connection as idle while
+  // this one waited for it.
+  connection->m_idle_timer.cancel();
+  m_idle_streams.erase(&connection->m_stream);
   state->m_place = order.AddRequest();
   if (state->m_is_overlapping) {
     asio::co_spawn(connection->m_stream.get_executor(), Handle(state),
--- a/tests/unit/net_http_listener_test.cc
+++ b/tests/unit/net_http_listener_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -35,7 +36,8 @@
   explicit ManualServer(std::size_t max_overlapping) {
     m_thread.Run([&] {
       HttpListenerOptions options{.m_max_overlapping = max_overlapping};
-      options.m_may_overlap = [](const RequestHead& head) {
+      options.m_may_overlap = [this](const RequestHead& head) {
+        m_read_targets.insert(head.m_target);
         return head.m_method == "GET";
       };
       m_listener = std::make_unique<HttpListener>(
@@ -67,6 +69,10 @@
   void WaitUntilStarted(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests.contains(target); });
   }
+  // Its head was read. Only for requests without a body.
+  void WaitUntilRead(const std::string& target) {
+    m_thread.WaitUntil([&] { return m_read_targets.contains(target); });
+  }
   // Its response was written, and what this causes on the thread is done.
   void WaitUntilFinished(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests[target].m_is_finished; });
@@ -79,6 +85,11 @@
   void WaitUntilCallerGone(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests[target].m_is_caller_gone; });
   }
+  bool IsCallerGone(const std::string& target) {
+    bool is_caller_gone = false;
+    m_thread.Run([&] { is_caller_gone = m_requests[target].m_is_caller_gone; });
+    return is_caller_gone;
+  }
   void Respond(const std::string& target) { RespondWith(target, target); }
   void RespondWith(const std::string& target, const std::string& body) {
     m_thread.Run([&] {
@@ -139,6 +150,7 @@
   std::unique_ptr<HttpListener> m_listener;
   std::uint16_t m_port = 0;
   std::map<std::string, Request> m_requests;
+  std::set<std::string> m_read_targets;
   std::size_t m_in_progress = 0;  // handlers of m_requests
   std::unique_ptr<asio::steady_timer> m_wake;
 };
@@ -338,5 +350,26 @@
   EXPECT_TRUE(caller.IsClosing());
 }
 
+// Guards against a connection that counts as idle although a request that
+// waited for the earlier responses is in progress: the caller of that request
+// is taken to have disconnected when idle connections are closed.
+TEST(HttpListenerClose, RequestThatWaitedForEarlierResponsesContinues) {
+  ManualServer server(4);
+  Caller caller(server);
+  caller.Send("GET", "/1");
+  caller.Send("DELETE", "/2");
+  server.WaitUntilRead("/2");
+  server.Respond("/1");
+  EXPECT_EQ(caller.Read(), "/1");
+  server.WaitUntilStarted("/2");
+  server.Listener().Close();
+  // The close and the operations that it cancels take effect on the thread.
+  for (int i = 0; i < 3; ++i)
+    server.Thread().Run([] {});
+  EXPECT_FALSE(server.IsCallerGone("/2"));
+  server.Respond("/2");
+  EXPECT_EQ(caller.Read(), "/2");
+}
+
 }  // namespace
 }  // namespace jujube::net
