End the writes of a response half a second after its deadline

What callers saw: nothing was reported. A caller that reads slowly can keep its connection, and during a planned stop the host, occupied for seconds after the deadline of its request.

Cause: each write of a response that was past its deadline got 0.5 s of its own.

Change: all writes of a response share one limit, 0.5 s after the deadline or after the beginning of the response, whichever is later.

Evidence: HttpListenerClose.CallerThatReadsSlowlyIsLeftAfterTheDeadline did not end within 20 s before and passes in 0.5 s now.

--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -60,8 +60,9 @@
   bool IsBodyRead() const;  // the complete request body was read
 
   // Sets the time after which a caller that does not read its response is
-  // disconnected. A write gets at least kMinWriteTime, so that a response which
-  // is sent at the deadline arrives.
+  // disconnected. A response gets kMinWriteTime beyond it, or after its
+  // beginning if that is later, so that one which is sent at the deadline
+  // arrives.
   void SetResponseDeadline(MonoTime deadline);
 
   // Sends a complete response.
--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -102,6 +102,7 @@
   RequestHead m_head;
   std::chrono::milliseconds m_body_timeout{0};
   std::optional<MonoTime> m_response_deadline;
+  MonoTime m_response_began_at;  // the head may be written since then
   std::optional<MonoTime> m_body_deadline;
   const std::atomic<bool>* m_announce_close = nullptr;
   std::shared_ptr<bool> m_watch_active;  // false after Unwatch
@@ -148,9 +149,14 @@
 std::chrono::milliseconds WriteTimeout(const HttpExchangeState& state) {
   if (!state.m_response_deadline)
     return state.m_body_timeout;
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-      *state.m_response_deadline - MonoClock::now());
-  return std::min(std::max(left, kMinWriteTime), state.m_body_timeout);
+  // All writes of a response share one limit, so that a caller that reads
+  // slowly does not get the shortest time again for each part.
+  const MonoTime limit =
+      std::max(*state.m_response_deadline, state.m_response_began_at) +
+      kMinWriteTime;
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(limit - MonoClock::now());
+  return std::clamp(left, std::chrono::milliseconds(0), state.m_body_timeout);
 }
 
 std::chrono::milliseconds ReadTimeout(const HttpExchangeState& state) {
@@ -280,6 +286,7 @@
     co_return MakeError(ErrorCode::kIo,
                         "caller connection: closed by an earlier response");
   }
+  state.m_response_began_at = MonoClock::now();
   state.m_response.result(head.m_status);
   state.m_response.version(11);
   for (const Header& header : head.m_headers) {
--- a/tests/unit/net_http_listener_test.cc
+++ b/tests/unit/net_http_listener_test.cc
@@ -1,6 +1,8 @@
 // Tests of HttpListener with requests that a caller sends without waiting for
 // the responses.
 
+#include <array>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -82,6 +84,11 @@
     m_thread.Run([&] { is_started = m_requests.contains(target); });
     return is_started;
   }
+  bool IsEndlessEnded() {
+    bool is_ended = false;
+    m_thread.Run([&] { is_ended = m_is_endless_ended; });
+    return is_ended;
+  }
   void WaitUntilCallerGone(const std::string& target) {
     m_thread.WaitUntil([&] { return m_requests[target].m_is_caller_gone; });
   }
@@ -128,6 +135,10 @@
       co_await exchange.Respond(std::move(head), target);
       co_return;
     }
+    if (target == "/endless") {
+      co_await RespondWithoutEnd(exchange);
+      co_return;
+    }
     Request& request = m_requests[target];
     ++m_in_progress;
     exchange.Watch([&request] { request.m_is_caller_gone = true; });
@@ -146,9 +157,21 @@
     --m_in_progress;
   }
 
+  // Writes parts until the caller is left.
+  asio::awaitable<void> RespondWithoutEnd(HttpExchange& exchange) {
+    exchange.SetResponseDeadline(MonoClock::now());
+    const std::string part(16384, 'x');
+    ResponseHead head{.m_status = 200};
+    Status status = co_await exchange.Begin(std::move(head));
+    while (status)
+      status = co_await exchange.Write(part);
+    m_is_endless_ended = true;
+  }
+
   IoThread m_thread;
   std::unique_ptr<HttpListener> m_listener;
   std::uint16_t m_port = 0;
+  bool m_is_endless_ended = false;
   std::map<std::string, Request> m_requests;
   std::set<std::string> m_read_targets;
   std::size_t m_in_progress = 0;  // handlers of m_requests
@@ -209,6 +232,11 @@
     m_buffer.consume(size);
     return body;
   }
+  void ReadSome() {
+    std::array<char, 65536> chunk{};
+    boost::system::error_code error;
+    m_socket.read_some(asio::buffer(chunk), error);
+  }
   bool IsClosing() const { return m_is_closing; }
   void Close() { m_socket.close(); }
 
@@ -333,6 +361,19 @@
   EXPECT_EQ(caller.Read(), "closed");
 }
 
+// Guards against a caller that reads slowly and occupies the host long after
+// the deadline of its request, because each part of the response may take the
+// shortest write time again.
+TEST(HttpListenerClose, CallerThatReadsSlowlyIsLeftAfterTheDeadline) {
+  ManualServer server(1);
+  Caller caller(server);
+  caller.Send("GET", "/endless");
+  while (!server.IsEndlessEnded()) {
+    caller.ReadSome();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 // Guards against a connection that is closed while bytes of a further request
 // are unread: the kernel resets it and drops the rest of the last response.
 TEST(HttpListenerClose, LastResponseArrivesAlthoughAFurtherRequestIsUnread) {
