List a response that is dropped behind a long request at the end of a stop

Cause: a request that was passed on before SIGTERM keeps its deadline, which may lie behind the end of the stop. A complete response behind it on a pipelined connection waits for its turn until the process ends. Shortening the deadline covers only requests that are sent during the stop.

Not fixed: attempts in progress would have to be answered shortly before the end of the stop.

--- a/tests/process/discovery_stop_test.cc
+++ b/tests/process/discovery_stop_test.cc
@@ -12,6 +12,7 @@
 #include "process/discovery_hosts.h"
 #include "process/fixed_response_upstream.h"
 #include "process/process_harness.h"
+#include "process/raw_socket.h"
 
 namespace jujube::process {
 namespace {
@@ -41,5 +42,41 @@
   EXPECT_EQ(upstream.Requests(), requests);
 }
 
+// Guards against a response that exists and is dropped at the end of a planned
+// stop, because an earlier request on its connection is still in progress.
+TEST_F(DiscoveryTest, ResponseBehindALongRequestArrivesBeforeTheEndOfAStop) {
+  StartControlHosts();
+  Start(kEntryHost);
+  // Requests overlap under a document with tenants. The route takes longer than
+  // the stop.
+  std::string document = TenantDocumentText(1);
+  const std::string time_limit = R"("timeout_s":5,)";
+  document.replace(document.find(time_limit), time_limit.size(),
+                   R"("timeout_s":60,)");
+  PutUntilAccepted(document, 0);
+  {
+    const FixedResponseUpstream upstream(UpstreamEndpoint(), kFuelResponse);
+    WaitUntilServed();
+  }
+  const testing::RawSocket upstream =
+      testing::RawSocket::Listen(UpstreamEndpoint(), 16);
+  EXPECT_EQ(Announce(2), 200);
+  const testing::RawSocket caller = testing::RawSocket::Connect(
+      {.m_address = AddressOf(kEntryHost), .m_port = kRequestPort});
+  const auto send = [&](const std::string& id) {
+    caller.Send("GET /p/" + id +
+                " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
+                "\r\nDeadline-Ms: 50000\r\n\r\n");
+    testing::RawSocket connection = upstream.Accept();
+    EXPECT_TRUE(connection.ReadUntil("\r\n\r\n"));
+    return connection;
+  };
+  const testing::RawSocket at_work = send("76");
+  send("77").Send(kFuelResponse);
+  m_hosts.at(kEntryHost)->Terminate();
+  const std::string received = caller.ReadToEnd();
+  EXPECT_NE(received.find("fuel"), std::string::npos) << received;
+}
+
 }  // namespace
 }  // namespace jujube::process
