--- a/tests/process/request_stop_test.cc
+++ b/tests/process/request_stop_test.cc
@@ -376,7 +376,8 @@
   std::vector<std::future<Answer>> responses;
   for (std::size_t i = 0; i < kRequests; ++i) {
     responses.push_back(std::async(std::launch::async, [&] {
-      return system.Send(0, {.m_target = "/s/log/held?delay_ms=8000"});
+      return system.Send(0, {.m_target = "/s/log/held?delay_ms=20000",
+                             .m_headers = {{"Jujube-Deadline-Ms", "600000"}}});
     }));
   }
   RequestSystem::WaitUntil(
@@ -387,6 +388,8 @@
       system.Send(0, {.m_target = "/s/log/bad?status=500"});
     return HasEjected(system);
   });
+  for (const std::future<Answer>& response : responses)
+    EXPECT_NE(response.wait_for(milliseconds(0)), std::future_status::ready);
   for (std::future<Answer>& response : responses)
     EXPECT_EQ(response.get().m_status, 200);
   // No request was made again elsewhere.
--- a/tests/unit/entry_link_turn_test.cc
+++ b/tests/unit/entry_link_turn_test.cc
@@ -1,5 +1,6 @@
 // Tests of responses that are written over a link in turn.
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -23,10 +24,12 @@
 constexpr std::uint64_t kLinkKbitPerSecond = 2600;
 constexpr std::size_t kLargeBytes = 30000;
 
-// Answers "/large" with a large body, in its turn on a link that is taken for a
-// minute, and other targets at once.
+// Answers "/large" and "/late" with a large body, in its turn on a link that is
+// taken for a minute, and other targets at once. The deadline of "/late" has
+// passed.
 asio::awaitable<void> Respond(net::HttpExchange& exchange) {
-  if (exchange.Head().m_target != "/large") {
+  const std::string target = exchange.Head().m_target;
+  if (target != "/large" && target != "/late") {
     ResponseHead head;
     co_await exchange.Respond(std::move(head), "small");
     co_return;
@@ -39,16 +42,16 @@
   const std::string body(kLargeBytes, 'x');
   Status status = co_await exchange.Begin(std::move(head));
   if (status) {
-    status =
-        co_await WriteInTurn(exchange, link, body, now + milliseconds(500));
+    const MonoTime deadline = now + milliseconds(target == "/late" ? -1 : 500);
+    status = co_await WriteInTurn(exchange, link, body, deadline);
   }
   if (status)
     co_await exchange.End();
 }
 
 // Guards against a response that is cut off after its head because the link is
-// expected to be busy until its deadline, and against the loss of the responses
-// behind it on the connection.
+// expected to be busy until its deadline, or because the deadline passed while
+// it waited, and against the loss of the responses behind it on the connection.
 TEST(LinkTurn, ResponseThatHasBegunIsCompletedOnABusyLink) {
   net::test::IoThread thread;
   std::unique_ptr<net::HttpListener> listener;
@@ -65,13 +68,14 @@
   caller.connect({asio::ip::address_v4::loopback(), port});
   asio::write(caller,
               asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: x\r\n\r\n"
+                                       "GET /late HTTP/1.1\r\nHost: x\r\n\r\n"
                                        "GET /small HTTP/1.1\r\nHost: x\r\n"
                                        "Connection: close\r\n\r\n")));
   std::string received;
   boost::system::error_code error;
   asio::read(caller, asio::dynamic_buffer(received), error);
   EXPECT_EQ(error, asio::error::eof);
-  EXPECT_NE(received.find(std::string(kLargeBytes, 'x')), std::string::npos);
+  EXPECT_EQ(std::count(received.begin(), received.end(), 'x'), 2 * kLargeBytes);
   EXPECT_TRUE(received.ends_with("small")) << received.substr(0, 200);
   thread.Run([&] { listener.reset(); });
 }
