--- a/src/net/http_listener.cc
+++ b/src/net/http_listener.cc
@@ -102,7 +102,7 @@
   RequestHead m_head;
   std::chrono::milliseconds m_body_timeout{0};
   std::optional<MonoTime> m_response_deadline;
-  MonoTime m_response_began_at;  // the head may be written since then
+  MonoTime m_response_began_at;  // its turn on the connection has come
   std::optional<MonoTime> m_body_deadline;
   const std::atomic<bool>* m_announce_close = nullptr;
   std::shared_ptr<bool> m_watch_active;  // false after Unwatch
