--- a/tests/unit/steering_failure_test.cc
+++ b/tests/unit/steering_failure_test.cc
@@ -53,7 +53,9 @@
   ASSERT_EQ(changes.size(), 1U);
   EXPECT_EQ(changes[0], (EjectionChange{.m_instance = {"b"},
                                         .m_kind = Kind::kEjected,
-                                        .m_until = At(5000)}));
+                                        .m_until = At(5000),
+                                        .m_consecutive_failures = 5,
+                                        .m_failure_permille = 1000}));
   EXPECT_EQ(CandidateCount(service, At(4999)), 2U);
   EXPECT_EQ(CandidateCount(service, At(5000)), 3U);
   EXPECT_TRUE(EvaluateOutliers(service, {}, At(5000)).empty());
@@ -120,7 +122,9 @@
   unreachable.Record(Outcome::kUnreachable, milliseconds(250), At(0));
   EXPECT_TRUE(EvaluateOutliers(service, {}, At(0)).empty());
   unreachable.Record(Outcome::kUnreachable, milliseconds(250), At(1));
-  EXPECT_EQ(EvaluateOutliers(service, {}, At(1)).size(), 1U);
+  const auto changes = EvaluateOutliers(service, {}, At(1));
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].m_connect_timeouts, 2U);
   EXPECT_TRUE(unreachable.IsSetAside(At(1)));
 }
 
